--- /dev/null
+++ b/cmd/fulmarctl/main.go
@@ -0,0 +1,10 @@
+// Command fulmarctl is the operators' client.
+package main
+
+import (
+	"os"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarctl"
+)
+
+func main() { os.Exit(fulmarctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/fulmardrumd/main.go
@@ -0,0 +1,43 @@
+// Command fulmardrumd is the daemon that runs on every entry VM.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/charmbracelet/log"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardaemon"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsettings"
+)
+
+func main() {
+	app := kingpin.New("fulmardrumd", "Serves callers, places their requests on workers and keeps the fleet's pools.")
+	path := app.Flag("settings", "Settings file, JSON with comments.").Short('s').Required().String()
+	check := app.Flag("check", "Check the settings file and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	settings, err := fulmarsettings.LoadDaemon(*path)
+	if err != nil {
+		logger.Fatal("the settings were refused", "error", err)
+	}
+	if *check {
+		return
+	}
+	if level, err := log.ParseLevel(settings.LogLevel); err == nil {
+		logger.SetLevel(level)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	daemon, err := fulmardaemon.Start(settings, fulmarclock.NewSystem(), logger)
+	if err != nil {
+		logger.Fatal("the member could not start", "error", err)
+	}
+	if err := daemon.Run(ctx); err != nil {
+		logger.Fatal("the member failed", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/fulmarassign/table_test.go
@@ -0,0 +1,52 @@
+package fulmarassign_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarassign"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+)
+
+func vms(n int) []fulmarplatform.VM {
+	var list []fulmarplatform.VM
+	for i := range n {
+		list = append(list, fulmarplatform.VM{ID: fmt.Sprintf("vm-%03d", i), State: fulmarplatform.VMLive})
+	}
+	return list
+}
+
+func TestPlanFillsTheNeediestPoolAndMovesNothing(t *testing.T) {
+	c := qt.New(t)
+	document := fulmarconfig.Document{Pools: map[string]fulmarconfig.Pool{"a": {VMs: 3}, "b": {VMs: 1}}}
+	first, changed := fulmarassign.Plan(fulmarassign.Table{}, vms(2), document)
+	c.Assert(changed, qt.IsTrue)
+	c.Assert(first.VMs["vm-000"].Pool, qt.Equals, "a")
+	second, _ := fulmarassign.Plan(first, vms(6), document)
+	c.Assert(second.VMs, qt.HasLen, 4)
+	c.Assert(second.VMs["vm-000"], qt.Equals, first.VMs["vm-000"])
+	_, changed = fulmarassign.Plan(second, vms(6), document)
+	c.Assert(changed, qt.IsFalse)
+}
+
+// TestEpochsNeverRepeat plans over a fleet that changes at random.
+func TestEpochsNeverRepeat(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		document := fulmarconfig.Document{Pools: map[string]fulmarconfig.Pool{"a": {VMs: 3}, "b": {VMs: 2}}}
+		table, owner := fulmarassign.Table{}, map[int64]string{}
+		for range rapid.IntRange(1, 20).Draw(r, "rounds") {
+			table, _ = fulmarassign.Plan(table, vms(rapid.IntRange(0, 7).Draw(r, "vms")), document)
+			for id, assignment := range table.VMs {
+				holder := id + "/" + assignment.Pool
+				if known, given := owner[assignment.Epoch]; given && known != holder {
+					r.Fatalf("epoch %d was given to %s and to %s", assignment.Epoch, known, holder)
+				}
+				owner[assignment.Epoch] = holder
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/fulmarbench/main.go
@@ -0,0 +1,154 @@
+package fulmarbench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarstandin"
+)
+
+const platformCall = 2 * fulmarclock.Second
+
+// options are the parsed command line.
+type options struct {
+	address     string
+	platform    string
+	name        string
+	count       int
+	perRack     int
+	slots       int
+	connections int
+	targets     string
+	pools       string
+	load        Load
+}
+
+// Main runs one command and returns the exit code.
+func Main(arguments []string, out, errOut io.Writer) int {
+	o := &options{}
+	app, commands := parser(o)
+	command, err := app.Parse(arguments)
+	if err != nil {
+		fmt.Fprintf(errOut, "fulmarbench: %v; see fulmarbench --help\n", err)
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := commands[command](ctx, o, out); err != nil {
+		fmt.Fprintf(errOut, "fulmarbench: %v\n", err)
+		return 1
+	}
+	return 0
+}
+
+type action func(ctx context.Context, o *options, out io.Writer) error
+
+func parser(o *options) (*kingpin.Application, map[string]action) {
+	app := kingpin.New("fulmarbench", "Stand-ins of the platform and the workers, and a load tool.")
+	platform := app.Command("platform", "Run a stand-in of the platform.")
+	platform.Flag("address", "HOST:PORT to serve.").Default("127.0.0.1:7000").StringVar(&o.address)
+	worker := app.Command("worker", "Run stand-ins of workers that register with the platform.")
+	worker.Flag("platform", "Base URL of the platform.").Default("http://127.0.0.1:7000").StringVar(&o.platform)
+	worker.Flag("name", "Start of the VMs' names.").Default("vm").StringVar(&o.name)
+	worker.Flag("count", "Number of workers in this process.").Default("1").IntVar(&o.count)
+	worker.Flag("rack", "Workers in a rack.").Default("4").IntVar(&o.perRack)
+	worker.Flag("slots", "Slots of a worker.").Default("8").IntVar(&o.slots)
+	worker.Flag("connections", "Connections of a worker.").Default("64").IntVar(&o.connections)
+	load := app.Command("load", "Put an open load on members or workers, for example: "+
+		"fulmarbench load --targets 127.0.0.1:7101 --pools catalogue --rate 200 --duration 10s")
+	load.Flag("targets", "Addresses of members' callers' listeners, or of workers with --direct.").Required().StringVar(&o.targets)
+	load.Flag("pools", "Pools, with commas between them.").Default("catalogue").StringVar(&o.pools)
+	load.Flag("direct", "The targets are workers.").BoolVar(&o.load.Direct)
+	load.Flag("rate", "Mean requests a second of each pool.").Default("100").Float64Var(&o.load.Rate)
+	load.Flag("duration", "Length of the load.").Default("10s").DurationVar(&o.load.Duration)
+	load.Flag("turn", "Each pool in its turn asks for five times its mean for so long, the others for a twentieth.").
+		Default("0s").DurationVar(&o.load.Turn)
+	load.Flag("work", "Time of each request on its worker.").Default("20ms").DurationVar(&o.load.Work)
+	load.Flag("timeout", "Time limit that callers state.").Default("10s").DurationVar(&o.load.Timeout)
+	load.Flag("writes", "Share of POST requests.").Default("0").Float64Var(&o.load.Writes)
+	load.Flag("keyed", "Share of the POST requests with an idempotency key.").Default("0").Float64Var(&o.load.Keyed)
+	load.Flag("urgent", "Share of urgent requests.").Default("0").Float64Var(&o.load.Urgent)
+	load.Flag("seed", "Seed of the load.").Default("1").Uint64Var(&o.load.Seed)
+	demo := app.Command("demo", "Run platform, workers, three members and a burst in one process, with a live summary.")
+	demo.Flag("duration", "Length of the demonstration.").Default("15s").DurationVar(&o.load.Duration)
+	return app, map[string]action{
+		platform.FullCommand(): runPlatform, worker.FullCommand(): runWorkers,
+		load.FullCommand(): runLoad, demo.FullCommand(): runDemo,
+	}
+}
+
+func runPlatform(ctx context.Context, o *options, out io.Writer) error {
+	platform, err := fulmarstandin.StartPlatform(o.address, fulmarclock.NewSystem())
+	if err != nil {
+		return err
+	}
+	defer platform.Close()
+	fmt.Fprintf(out, "the platform's stand-in serves %s\n", platform.URL())
+	<-ctx.Done()
+	return nil
+}
+
+func runWorkers(ctx context.Context, o *options, out io.Writer) error {
+	clock := fulmarclock.NewSystem()
+	client := fulmarplatform.NewClient(o.platform, platformCall, noCounter{})
+	workers, err := startWorkers(o, client, clock)
+	defer closeWorkers(workers)
+	if err != nil {
+		return err
+	}
+	for _, w := range workers {
+		fmt.Fprintf(out, "worker %s serves %s\n", w.VM().ID, w.VM().Address)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func startWorkers(o *options, client *fulmarplatform.Client, clock fulmarclock.Clock) ([]*fulmarstandin.Worker, error) {
+	var workers []*fulmarstandin.Worker
+	journal := &fulmarstandin.Journal{}
+	for i := range o.count {
+		w, err := fulmarstandin.StartWorker(fulmarstandin.WorkerOptions{
+			VM: fulmarplatform.VM{
+				ID: fmt.Sprintf("%s-%03d", o.name, i), Address: "127.0.0.1:0", Region: "region-1",
+				DataCentre: fmt.Sprintf("dc-%d", 1+i/o.perRack%4), Rack: fmt.Sprintf("rack-%d", i/o.perRack),
+				Slots: o.slots, State: fulmarplatform.VMLive,
+			},
+			Connections: o.connections, Journal: journal, Platform: client,
+		}, clock)
+		if err != nil {
+			return workers, err
+		}
+		workers = append(workers, w)
+	}
+	return workers, nil
+}
+
+func closeWorkers(workers []*fulmarstandin.Worker) {
+	for _, w := range workers {
+		w.Close()
+	}
+}
+
+func runLoad(ctx context.Context, o *options, out io.Writer) error {
+	o.load.Targets = strings.Split(o.targets, ",")
+	o.load.Pools = strings.Split(o.pools, ",")
+	Run(ctx, o.load).Print(out)
+	return nil
+}
+
+type noCounter struct{}
+
+// CountCall does nothing.
+func (noCounter) CountCall(string) {}
+
+const demoSummary = time.Second
--- /dev/null
+++ b/internal/fulmardaemon/daemon.go
@@ -0,0 +1,210 @@
+// Package fulmardaemon joins the duties of one member into a process.
+//
+// Usage:
+//
+//	daemon, err := fulmardaemon.Start(settings, clock, logger)
+//	err = daemon.Run(ctx)  // until ctx ends, then a graceful stop
+//
+// A request's way: fulmarentry takes it from its caller, fulmarclaim claims its
+// idempotency key, the pool's scheduler in fulmardispatch queues it and gives it
+// a slot, and the transport in fulmardispatch exchanges it with the worker.
+// Beside it, fulmarfleet follows the platform, fulmarmember tells the peers,
+// and fulmaroperator serves operators.
+package fulmardaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclaim"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarentry"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmember"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmetrics"
+	"github.com/fulmardrum/fulmardrum/internal/fulmaroperator"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsettings"
+	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+)
+
+const (
+	callerIdle   = 60 * time.Second
+	pingLeast    = 5 * time.Second
+	housekeeping = 5 * fulmarclock.Second
+)
+
+// Daemon is one member.
+type Daemon struct {
+	settings fulmarsettings.Daemon
+	clock    fulmarclock.Clock
+	logger   *log.Logger
+	self     fulmarfleet.Member
+
+	metrics    *fulmarmetrics.Metrics
+	platform   *fulmarplatform.Client
+	fleet      *fulmarfleet.Fleet
+	membership *fulmarmember.Membership
+	exchange   *fulmarmember.Exchange
+	claimer    *fulmarclaim.Claimer
+	transport  *fulmardispatch.Transport
+	pools      *fulmardispatch.Pools
+	entry      *fulmarentry.Entry
+
+	callers   *listening
+	operators *listening
+	peers     net.Listener
+	grpc      *grpc.Server
+}
+
+// Start takes the member's addresses and makes its parts. Port 0 takes a free port.
+func Start(settings fulmarsettings.Daemon, clock fulmarclock.Clock, logger *log.Logger) (*Daemon, error) {
+	d := &Daemon{settings: settings, clock: clock, logger: logger.With("member", settings.Member)}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.self = fulmarfleet.Member{
+		Name: settings.Member, Incarnation: uuid.NewString(), Region: settings.Region,
+		DataCentre: settings.DataCentre, Peers: d.peers.Addr().String(), Operators: d.operators.address(),
+	}
+	d.assemble()
+	return d, nil
+}
+
+// Callers returns the address of the callers' listener.
+func (d *Daemon) Callers() string { return d.callers.address() }
+
+// Operators returns the address of the operators' listener.
+func (d *Daemon) Operators() string { return d.operators.address() }
+
+// Entry returns the callers' side.
+func (d *Daemon) Entry() *fulmarentry.Entry { return d.entry }
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callers, err = listenOn(d.settings.Callers); err != nil {
+		return err
+	}
+	if d.operators, err = listenOn(d.settings.Operators); err != nil {
+		return err
+	}
+	d.peers, err = net.Listen("tcp", d.settings.Peers)
+	return trace.ConvertSystemError(err)
+}
+
+func (d *Daemon) assemble() {
+	limits, times := d.settings.Limits, d.settings.Times
+	d.metrics = fulmarmetrics.New(d.settings.Member)
+	d.platform = fulmarplatform.NewClient(d.settings.Platform, times.PlatformCall, d.metrics)
+	d.fleet = fulmarfleet.New(d.platform, d.clock, d.logger, d.metrics, times.VMList)
+	d.membership = fulmarmember.NewMembership(d.platform, d.clock, d.self, times.Lease, d.logger, d.metrics)
+	d.exchange = fulmarmember.NewExchange(d.self, d.fleet, d.clock, d, d.metrics, d.logger, times.Digest)
+	d.claimer = fulmarclaim.NewClaimer(d.platform, d.clock, fulmarclaim.Options{
+		Buckets: limits.ClaimBuckets, PerBucket: limits.ClaimsPerBucket, Kept: times.ClaimKept, Batch: times.ClaimBatch,
+	})
+	d.transport = fulmardispatch.NewTransport(fulmardispatch.TransportOptions{
+		Clock: d.clock, Connect: times.ConnectWorker, Acknowledge: times.Acknowledge, FreshIdle: times.FreshIdle,
+	})
+	d.pools = fulmardispatch.NewPools(fulmardispatch.PoolsOptions{
+		Clock: d.clock, Ring: limits.RingEvents, Seed: uint64(d.clock.Unix()),
+		NewPolicy: func() fulmardispatch.Policy { return fulmardispatch.LeastLoaded{} },
+	})
+	d.entry = fulmarentry.New(fulmarentry.Options{
+		Clock: d.clock, Schedulers: d.pools, Configuration: d, Sender: d.transport, Claimer: d.claimer,
+		Counters: d.metrics, Limits: limits, Times: times,
+	})
+	d.callers.serve(&http.Server{
+		Handler: d.entry, MaxHeaderBytes: limits.HeaderBytes,
+		ReadHeaderTimeout: times.ReadHeader.Duration(), IdleTimeout: callerIdle,
+	})
+	operator := fulmaroperator.NewServer(fulmaroperator.Options{
+		Clock: d.clock, Store: d.platform, Fleet: d.fleet, Status: d, Metrics: d.metrics.Handler(),
+		Token: d.settings.OperatorToken,
+	})
+	d.operators.serve(&http.Server{
+		Handler: operator.Handler(), MaxHeaderBytes: limits.HeaderBytes,
+		ReadHeaderTimeout: times.ReadHeader.Duration(), ReadTimeout: times.ReadBody.Duration(), IdleTimeout: callerIdle,
+	})
+	d.grpc = grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingLeast}))
+	fulmarpeerpb.RegisterPeersServer(d.grpc, d.exchange)
+}
+
+// Record returns the configuration in force.
+func (d *Daemon) Record() fulmarconfig.Record { return d.fleet.View().Record() }
+
+// Loads returns the demand of each pool with any.
+func (d *Daemon) Loads() map[string]int { return d.pools.Loads() }
+
+// LearnLoads takes in the other members' demands.
+func (d *Daemon) LearnLoads(demands map[string][]int) { d.pools.SetPeers(demands) }
+
+// Stopping tells whether the member is on its way out.
+func (d *Daemon) Stopping() bool { return !d.entry.IsReady() }
+
+// Status returns the member's state.
+func (d *Daemon) Status() fulmarapi.Status {
+	view := d.fleet.View()
+	status := fulmarapi.Status{
+		Member: d.self.Name, Ready: d.entry.IsReady(), Generation: view.Record().Generation,
+		ViewMillis: int64(d.clock.Now() - view.PlatformSeen()), Pools: d.pools.Reports(),
+	}
+	for _, m := range view.Members() {
+		report := fulmarapi.MemberReport{
+			Name: m.Name, Region: m.Region, DataCentre: m.DataCentre, Peers: m.Peers, Operators: m.Operators,
+			Generation: d.exchange.Generation(m.Name), AgeMillis: int64(d.exchange.Age(m.Name)),
+		}
+		if m.Name == d.self.Name {
+			report.Generation, report.AgeMillis = status.Generation, 0
+		}
+		status.Members = append(status.Members, report)
+	}
+	return status
+}
+
+// follow keeps the schedulers on the fleet's view until ctx ends.
+func (d *Daemon) follow(ctx context.Context) {
+	for {
+		select {
+		case <-d.fleet.Changed():
+		case <-d.clock.After(housekeeping):
+			d.transport.CloseIdle()
+		case <-ctx.Done():
+			return
+		}
+		d.applyView()
+		d.fleet.AssignOnce(ctx, d.platform, d.self.Name)
+	}
+}
+
+func (d *Daemon) applyView() {
+	view := d.fleet.View()
+	if view.Record().Generation == 0 {
+		return
+	}
+	d.pools.Apply(plansOf(view, d.settings.Limits.WorkerConnection))
+	addresses := map[string]bool{}
+	for _, vm := range view.VMs().VMs {
+		addresses[vm.Address] = true
+	}
+	d.transport.Keep(addresses)
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []*listening{d.callers, d.operators} {
+		if l != nil {
+			_ = l.listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/fulmardispatch/event.go
@@ -0,0 +1,123 @@
+package fulmardispatch
+
+import (
+	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+)
+
+type submitEvent struct{ ticket *Ticket }
+
+func (e submitEvent) apply(s *Scheduler) {
+	t := e.ticket
+	if s.stopped != nil {
+		t.grants <- Grant{Refusal: s.stopped}
+		return
+	}
+	if refusal := s.admit(t); refusal != nil {
+		t.grants <- Grant{Refusal: refusal}
+		return
+	}
+	s.retries.Earn()
+}
+
+// admit queues a ticket unless a bound or its deadline forbids it.
+func (s *Scheduler) admit(t *Ticket) *fulmarapi.Refusal {
+	wait := s.latency.Wait(s.queue.Ahead(t.urgency), min(s.allowed(), s.capacity()))
+	if s.queue.Len() > 0 && s.clock.Now()+wait > t.deadline {
+		detail := "the requests ahead take longer than the time limit"
+		return fulmarapi.NewRefusal(fulmarapi.ReasonDeadlineTooSoon, detail).WithRetryAfter(retryAfterSeconds)
+	}
+	entry, reason := s.queue.Push(t, t.team, t.urgency)
+	if reason != "" {
+		return fulmarapi.NewRefusal(reason, "the pool's queue is full").WithRetryAfter(retryAfterSeconds)
+	}
+	t.entry = entry
+	return nil
+}
+
+type cancelEvent struct{ ticket *Ticket }
+
+func (e cancelEvent) apply(s *Scheduler) {
+	t := e.ticket
+	switch {
+	case t.worker != nil:
+		t.result = ResultNeutral
+		s.release(t)
+		s.queue.Done(t.entry)
+	case t.entry != nil:
+		s.queue.Remove(t.entry)
+	}
+}
+
+type finishEvent struct{ ticket *Ticket }
+
+func (e finishEvent) apply(s *Scheduler) {
+	s.release(e.ticket)
+	s.queue.Done(e.ticket.entry)
+}
+
+type requeueEvent struct{ ticket *Ticket }
+
+func (e requeueEvent) apply(s *Scheduler) {
+	t := e.ticket
+	if t.result != ResultBusy && t.result != ResultStale {
+		t.avoid = t.worker.assigned.Target.VM
+	}
+	s.release(t)
+	if s.stopped != nil {
+		s.queue.Done(t.entry)
+		t.grants <- Grant{Refusal: s.stopped}
+		return
+	}
+	s.queue.PushFront(t.entry)
+}
+
+type stopEvent struct{ refusal *fulmarapi.Refusal }
+
+func (e stopEvent) apply(s *Scheduler) {
+	s.stopped = e.refusal
+	for _, t := range s.queue.Drain() {
+		t.grants <- Grant{Refusal: e.refusal}
+	}
+}
+
+type viewEvent struct{ view *View }
+
+func (e viewEvent) apply(s *Scheduler) {
+	s.workers = s.workers[:0]
+	byVM := make(map[string]*worker, len(e.view.Workers))
+	for _, assigned := range e.view.Workers {
+		w, known := s.byVM[assigned.Target.VM]
+		if !known || w.assigned.Target != assigned.Target {
+			w = newWorker(assigned)
+		}
+		w.assigned = assigned
+		w.limit = max(1, min(assigned.Slots, e.view.Connections))
+		byVM[assigned.Target.VM] = w
+		s.workers = append(s.workers, w)
+	}
+	s.byVM = byVM
+}
+
+type settingsEvent struct{ settings *Settings }
+
+func (e settingsEvent) apply(s *Scheduler) { s.follow(*e.settings) }
+
+type peersEvent struct{ demands *[]int }
+
+func (e peersEvent) apply(s *Scheduler) { s.peers = *e.demands }
+
+type reportEvent struct{ reply chan fulmarapi.PoolReport }
+
+func (e reportEvent) apply(s *Scheduler) {
+	report := fulmarapi.PoolReport{
+		Pool: s.pool, Running: s.running, Waiting: s.queue.Len(), Slots: s.capacity(),
+		Allowed: s.allowed(), MeanMillis: s.latency.mean,
+	}
+	for _, w := range s.workers {
+		report.Workers = append(report.Workers, fulmarapi.WorkerReport{
+			VM: w.assigned.Target.VM, Address: w.assigned.Target.Address, Epoch: w.assigned.Target.Epoch,
+			Running: w.running, Health: w.health.Verdict().String(), Leaving: w.assigned.Leaving,
+		})
+	}
+	e.reply <- report
+}
--- /dev/null
+++ b/internal/fulmardispatch/pools.go
@@ -0,0 +1,125 @@
+package fulmardispatch
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+)
+
+// PoolPlan is what one pool's scheduler is to follow.
+type PoolPlan struct {
+	Settings Settings
+	View     View
+}
+
+// PoolsOptions describe the schedulers of a member.
+type PoolsOptions struct {
+	Clock fulmarclock.Clock
+	// NewPolicy makes the policy of one pool.
+	NewPolicy func() Policy
+	Ring      int
+	Seed      uint64
+}
+
+// Pools holds one running scheduler for each pool of the configuration.
+type Pools struct {
+	options PoolsOptions
+	mu      sync.Mutex
+	current atomic.Pointer[map[string]*Scheduler]
+}
+
+// NewPools returns a holder without pools.
+func NewPools(options PoolsOptions) *Pools {
+	p := &Pools{options: options}
+	p.current.Store(&map[string]*Scheduler{})
+	return p
+}
+
+// Scheduler returns the scheduler of a pool.
+func (p *Pools) Scheduler(pool string) (*Scheduler, bool) {
+	s, known := (*p.current.Load())[pool]
+	return s, known
+}
+
+// Names returns the pools in order.
+func (p *Pools) Names() []string {
+	var names []string
+	for name := range *p.current.Load() {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Apply starts the schedulers of new pools, updates those that stay and stops the rest.
+func (p *Pools) Apply(plans map[string]PoolPlan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	previous := *p.current.Load()
+	next := make(map[string]*Scheduler, len(plans))
+	for name, plan := range plans {
+		s, known := previous[name]
+		if !known {
+			s = NewScheduler(name, Options{
+				Clock: p.options.Clock, Policy: p.options.NewPolicy(), Ring: p.options.Ring,
+				Seed: p.options.Seed, Settings: plan.Settings,
+			})
+			go s.Run()
+		}
+		s.SetSettings(plan.Settings)
+		s.SetView(plan.View)
+		next[name] = s
+	}
+	p.current.Store(&next)
+	for name, s := range previous {
+		if _, kept := next[name]; !kept {
+			s.Close(fulmarapi.NewRefusal(fulmarapi.ReasonUnknownPool, "the pool was removed"))
+		}
+	}
+}
+
+// SetPeers tells each pool the demands of the other members.
+func (p *Pools) SetPeers(demands map[string][]int) {
+	for name, s := range *p.current.Load() {
+		s.SetPeers(demands[name])
+	}
+}
+
+// Loads returns the demand of each pool with any, in requests running and waiting.
+func (p *Pools) Loads() map[string]int {
+	loads := map[string]int{}
+	for name, s := range *p.current.Load() {
+		if running, waiting := s.Load(); running+waiting > 0 {
+			loads[name] = running + waiting
+		}
+	}
+	return loads
+}
+
+// Reports returns the state of every pool.
+func (p *Pools) Reports() []fulmarapi.PoolReport {
+	var reports []fulmarapi.PoolReport
+	for _, name := range p.Names() {
+		s, known := p.Scheduler(name)
+		if !known {
+			continue
+		}
+		if report, running := s.Report(); running {
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
+// Close refuses what waits in every pool and stops the schedulers.
+func (p *Pools) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range *p.current.Load() {
+		s.Close(fulmarapi.NewRefusal(fulmarapi.ReasonStopping, "this member stops"))
+	}
+	p.current.Store(&map[string]*Scheduler{})
+}
--- /dev/null
+++ b/internal/fulmarmember/exchange.go
@@ -0,0 +1,276 @@
+package fulmarmember
+
+import (
+	"context"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
+)
+
+const (
+	// digestStale is how old a peer's digest may be before its demand counts as none.
+	digestStale = 2 * fulmarclock.Second
+	// callDigests is how many digest intervals one call between members may take.
+	callDigests = 4
+	// keepAlive is the time between pings on a silent connection between members.
+	keepAlive = 10 * fulmarclock.Second
+	// keepAliveTimeout is how long a ping may stay unanswered.
+	keepAliveTimeout = 2 * fulmarclock.Second
+)
+
+// Source is what a member tells the others and learns from them.
+type Source interface {
+	// Loads returns the demand of each pool with any, in requests running and waiting.
+	Loads() map[string]int
+	// LearnLoads takes in the demands of the other members by pool.
+	LearnLoads(demands map[string][]int)
+	// Stopping tells whether this member is on its way out.
+	Stopping() bool
+}
+
+// Counters count the messages between members.
+type Counters interface {
+	PeerMessage(direction string)
+	PeerBytes(direction string, n int)
+}
+
+// Exchange sends this member's digest to the others and keeps theirs.
+type Exchange struct {
+	fulmarpeerpb.UnimplementedPeersServer
+	self     fulmarfleet.Member
+	fleet    *fulmarfleet.Fleet
+	clock    fulmarclock.Clock
+	source   Source
+	counters Counters
+	logger   *log.Logger
+	every    fulmarclock.Millis
+
+	mu      sync.Mutex
+	digests map[string]seenDigest
+	peers   map[string]*peer
+}
+
+type seenDigest struct {
+	digest *fulmarpeerpb.Digest
+	at     fulmarclock.Millis
+}
+
+type peer struct {
+	connection *grpc.ClientConn
+	client     fulmarpeerpb.PeersClient
+	busy       bool
+}
+
+// NewExchange returns an exchange that sends a digest each interval every.
+func NewExchange(self fulmarfleet.Member, fleet *fulmarfleet.Fleet, clock fulmarclock.Clock, source Source, counters Counters, logger *log.Logger, every fulmarclock.Millis) *Exchange {
+	return &Exchange{
+		self: self, fleet: fleet, clock: clock, source: source, counters: counters, logger: logger, every: every,
+		digests: map[string]seenDigest{}, peers: map[string]*peer{},
+	}
+}
+
+// Run sends digests until ctx ends.
+func (e *Exchange) Run(ctx context.Context) {
+	var calls sync.WaitGroup
+	for ctx.Err() == nil {
+		e.round(ctx, &calls)
+		e.source.LearnLoads(e.demands())
+		select {
+		case <-e.clock.After(e.every):
+		case <-ctx.Done():
+		}
+	}
+	calls.Wait()
+	e.close()
+}
+
+// Age returns the time since a member's last digest, or -1 when there is none.
+func (e *Exchange) Age(name string) fulmarclock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen, known := e.digests[name]
+	if !known {
+		return -1
+	}
+	return e.clock.Now() - seen.at
+}
+
+// Generation returns the configuration generation that a member last told.
+func (e *Exchange) Generation(name string) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.digests[name].digest.GetGeneration()
+}
+
+// Exchange answers a peer's digest with this member's own.
+func (e *Exchange) Exchange(_ context.Context, digest *fulmarpeerpb.Digest) (*fulmarpeerpb.Digest, error) {
+	e.counters.PeerMessage("in")
+	e.counters.PeerBytes("in", proto.Size(digest))
+	e.keep(digest)
+	own := e.digest()
+	e.counters.PeerBytes("out", proto.Size(own))
+	return own, nil
+}
+
+// Configuration answers with the record in force if it is newer than the peer's.
+func (e *Exchange) Configuration(_ context.Context, request *fulmarpeerpb.ConfigurationRequest) (*fulmarpeerpb.ConfigurationReply, error) {
+	record := e.fleet.View().Record()
+	if record.Generation <= request.GetAfter() {
+		return &fulmarpeerpb.ConfigurationReply{}, nil
+	}
+	data, err := record.Encode()
+	return &fulmarpeerpb.ConfigurationReply{Record: data}, err
+}
+
+func (e *Exchange) digest() *fulmarpeerpb.Digest {
+	digest := &fulmarpeerpb.Digest{
+		Member: e.self.Name, Incarnation: e.self.Incarnation,
+		Generation: e.fleet.View().Record().Generation, Stopping: e.source.Stopping(),
+	}
+	for pool, demand := range e.source.Loads() {
+		digest.Pools = append(digest.Pools, &fulmarpeerpb.PoolLoad{Pool: pool, Demand: uint32(demand)})
+	}
+	return digest
+}
+
+func (e *Exchange) keep(digest *fulmarpeerpb.Digest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.digests[digest.GetMember()] = seenDigest{digest: digest, at: e.clock.Now()}
+}
+
+// demands returns the fresh demands of the other members by pool.
+func (e *Exchange) demands() map[string][]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock.Now()
+	demands := map[string][]int{}
+	for name, seen := range e.digests {
+		if now-seen.at > digestStale {
+			continue
+		}
+		if name == e.self.Name {
+			continue
+		}
+		for _, load := range seen.digest.GetPools() {
+			demands[load.GetPool()] = append(demands[load.GetPool()], int(load.GetDemand()))
+		}
+	}
+	return demands
+}
+
+// round sends the digest to every other member that is not still answering the last one.
+func (e *Exchange) round(ctx context.Context, calls *sync.WaitGroup) {
+	others := e.fleet.View().Others(e.self.Name)
+	e.dropPeersBut(others)
+	digest := e.digest()
+	for _, member := range others {
+		p := e.claimPeer(member)
+		if p == nil {
+			continue
+		}
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			e.call(ctx, p, digest)
+		}()
+	}
+}
+
+func (e *Exchange) call(ctx context.Context, p *peer, digest *fulmarpeerpb.Digest) {
+	defer e.releasePeer(p)
+	ctx, cancel := context.WithTimeout(ctx, (callDigests * e.every).Duration())
+	defer cancel()
+	e.counters.PeerMessage("out")
+	e.counters.PeerBytes("out", proto.Size(digest))
+	reply, err := p.client.Exchange(ctx, digest)
+	if err != nil {
+		e.counters.PeerMessage("failed")
+		return
+	}
+	e.counters.PeerBytes("in", proto.Size(reply))
+	e.keep(reply)
+	if reply.GetGeneration() > e.fleet.View().Record().Generation {
+		e.fetchRecord(ctx, p)
+	}
+}
+
+// fetchRecord learns a newer configuration from a peer, such as in an outage of the key-value service.
+func (e *Exchange) fetchRecord(ctx context.Context, p *peer) {
+	request := &fulmarpeerpb.ConfigurationRequest{After: e.fleet.View().Record().Generation}
+	reply, err := p.client.Configuration(ctx, request)
+	if err != nil || len(reply.GetRecord()) == 0 {
+		return
+	}
+	record, err := fulmarconfig.DecodeRecord(reply.GetRecord())
+	if err != nil {
+		e.logger.Error("a peer's configuration record cannot be read", "error", err)
+		return
+	}
+	e.fleet.LearnRecord(record)
+}
+
+func (e *Exchange) claimPeer(member fulmarfleet.Member) *peer {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, known := e.peers[member.Peers]
+	if !known {
+		connection, err := dialPeer(member.Peers)
+		if err != nil {
+			return nil
+		}
+		p = &peer{connection: connection, client: fulmarpeerpb.NewPeersClient(connection)}
+		e.peers[member.Peers] = p
+	}
+	if p.busy {
+		return nil
+	}
+	p.busy = true
+	return p
+}
+
+func dialPeer(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepAlive.Duration(), Timeout: keepAliveTimeout.Duration(),
+		}))
+}
+
+func (e *Exchange) releasePeer(p *peer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.busy = false
+}
+
+func (e *Exchange) dropPeersBut(others []fulmarfleet.Member) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, member := range others {
+		wanted[member.Peers] = true
+	}
+	for address, p := range e.peers {
+		if !wanted[address] && !p.busy {
+			_ = p.connection.Close()
+			delete(e.peers, address)
+		}
+	}
+}
+
+func (e *Exchange) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		_ = p.connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/fulmarqueue/team.go
@@ -0,0 +1,57 @@
+package fulmarqueue
+
+import "github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+
+// team holds one team's waiting requests by urgency.
+type team[T any] struct {
+	name    string
+	bounds  TeamBounds
+	classes [fulmarapi.UrgencyCount]list[T]
+	waiting int
+	running int
+	// served is the team's service divided by its weight.
+	served float64
+}
+
+func (t *team[T]) weight() float64 {
+	if t.bounds.Weight <= 0 {
+		return 1
+	}
+	return t.bounds.Weight
+}
+
+func (t *team[T]) isAtQuota() bool { return t.bounds.Running > 0 && t.running >= t.bounds.Running }
+
+// list is a doubly linked list of entries.
+type list[T any] struct {
+	head, tail *Entry[T]
+}
+
+func (l *list[T]) link(entry *Entry[T], front bool) {
+	entry.previous, entry.next = nil, nil
+	if l.head == nil {
+		l.head, l.tail = entry, entry
+		return
+	}
+	if front {
+		entry.next, l.head.previous = l.head, entry
+		l.head = entry
+		return
+	}
+	entry.previous, l.tail.next = l.tail, entry
+	l.tail = entry
+}
+
+func (l *list[T]) unlink(entry *Entry[T]) {
+	if entry.previous == nil {
+		l.head = entry.next
+	} else {
+		entry.previous.next = entry.next
+	}
+	if entry.next == nil {
+		l.tail = entry.previous
+	} else {
+		entry.next.previous = entry.previous
+	}
+	entry.previous, entry.next = nil, nil
+}
--- /dev/null
+++ b/internal/fulmarsettings/daemon.go
@@ -0,0 +1,156 @@
+package fulmarsettings
+
+import (
+	"net"
+	"net/url"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+)
+
+// Daemon is the settings file of one fulmardrumd. Times are in milliseconds, sizes in bytes.
+type Daemon struct {
+	// Member is the name of this entry VM; a replacement may take the same name.
+	Member string `json:"member"`
+	// Region and DataCentre tell where this entry VM stands.
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+	// Callers, Operators and Peers are the addresses of the three listeners.
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+	// Platform is the base URL of the platform's services.
+	Platform string `json:"platform"`
+	// OperatorToken, when set, is demanded from operators as a bearer token.
+	OperatorToken string `json:"operator_token"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+
+	Limits Limits `json:"limits"`
+	Times  Times  `json:"times"`
+}
+
+// Limits bound what callers can make the daemon hold.
+type Limits struct {
+	HeaderBytes      int   `json:"header_bytes"`
+	BodyBytes        int64 `json:"body_bytes"`
+	BufferedBody     int64 `json:"buffered_body_bytes"`
+	BufferedTotal    int64 `json:"buffered_total_bytes"`
+	CallerRequests   int   `json:"caller_requests"`
+	RingEvents       int   `json:"ring_events"`
+	ClaimsPerBucket  int   `json:"claims_per_bucket"`
+	ClaimBuckets     int   `json:"claim_buckets"`
+	WorkerConnection int   `json:"worker_connections"`
+}
+
+// Times bound how long each step may take.
+type Times struct {
+	ReadHeader    fulmarclock.Millis `json:"read_header"`
+	ReadBody      fulmarclock.Millis `json:"read_body"`
+	WriteIdle     fulmarclock.Millis `json:"write_idle"`
+	ConnectWorker fulmarclock.Millis `json:"connect_worker"`
+	Acknowledge   fulmarclock.Millis `json:"acknowledge"`
+	FreshIdle     fulmarclock.Millis `json:"fresh_idle"`
+	Digest        fulmarclock.Millis `json:"digest"`
+	VMList        fulmarclock.Millis `json:"vm_list"`
+	Lease         fulmarclock.Millis `json:"lease"`
+	PlatformCall  fulmarclock.Millis `json:"platform_call"`
+	StopNotReady  fulmarclock.Millis `json:"stop_not_ready"`
+	StopInFlight  fulmarclock.Millis `json:"stop_in_flight"`
+	ClaimKept     fulmarclock.Millis `json:"claim_kept"`
+	ClaimBatch    fulmarclock.Millis `json:"claim_batch"`
+}
+
+// DefaultDaemon returns the settings that a file starts from.
+func DefaultDaemon() Daemon {
+	return Daemon{
+		Member: "member-1", Region: "region-1", DataCentre: "dc-1",
+		Callers: "127.0.0.1:7001", Operators: "127.0.0.1:7002", Peers: "127.0.0.1:7003",
+		Platform: "http://127.0.0.1:7000", LogLevel: "info",
+		Limits: Limits{
+			HeaderBytes: 32 << 10, BodyBytes: 64 << 20, BufferedBody: 64 << 10, BufferedTotal: 24 << 20,
+			CallerRequests: 8192, RingEvents: 4096, ClaimsPerBucket: 8000, ClaimBuckets: 16, WorkerConnection: 64,
+		},
+		Times: Times{
+			ReadHeader: 5 * fulmarclock.Second, ReadBody: 60 * fulmarclock.Second, WriteIdle: 30 * fulmarclock.Second,
+			ConnectWorker: fulmarclock.Second, Acknowledge: 3 * fulmarclock.Second, FreshIdle: 2 * fulmarclock.Second,
+			Digest: 250, VMList: fulmarclock.Second, Lease: 6 * fulmarclock.Second, PlatformCall: 2 * fulmarclock.Second,
+			StopNotReady: 2 * fulmarclock.Second, StopInFlight: 10 * fulmarclock.Minute,
+			ClaimKept: 10 * fulmarclock.Minute, ClaimBatch: 20,
+		},
+	}
+}
+
+// LoadDaemon reads and checks the settings file at path.
+func LoadDaemon(path string) (Daemon, error) {
+	settings := DefaultDaemon()
+	positions, err := ReadFile(path, &settings)
+	if err != nil {
+		return Daemon{}, err
+	}
+	if err := settings.Check(path, positions); err != nil {
+		return Daemon{}, err
+	}
+	return settings, nil
+}
+
+// Check refuses settings that cannot work.
+func (d Daemon) Check(file string, positions Positions) error {
+	refuse := func(field, detail string) error {
+		return NewFieldError(file, positions.Line(field), field, detail)
+	}
+	for _, named := range []field[string]{{"member", d.Member}, {"region", d.Region}, {"data_centre", d.DataCentre}} {
+		if named.value == "" {
+			return refuse(named.name, "must not be empty")
+		}
+	}
+	for _, address := range []field[string]{{"callers", d.Callers}, {"operators", d.Operators}, {"peers", d.Peers}} {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return refuse(address.name, "must be HOST:PORT")
+		}
+	}
+	if platform, err := url.Parse(d.Platform); err != nil || platform.Host == "" {
+		return refuse("platform", "must be a URL such as http://10.0.0.9:7000")
+	}
+	for _, size := range d.Limits.fields() {
+		if size.value <= 0 {
+			return refuse(size.name, "must be above zero")
+		}
+	}
+	for _, length := range d.Times.fields() {
+		if length.value <= 0 {
+			return refuse(length.name, "must be above zero")
+		}
+	}
+	if d.Limits.BufferedBody > d.Limits.BufferedTotal {
+		return refuse("limits.buffered_body_bytes", "must not be above limits.buffered_total_bytes")
+	}
+	if d.Times.Lease < 4*d.Times.Digest {
+		return refuse("times.lease", "must be at least four times times.digest")
+	}
+	return nil
+}
+
+type field[T any] struct {
+	name  string
+	value T
+}
+
+func (l Limits) fields() []field[int64] {
+	return []field[int64]{
+		{"limits.header_bytes", int64(l.HeaderBytes)}, {"limits.body_bytes", l.BodyBytes},
+		{"limits.buffered_body_bytes", l.BufferedBody}, {"limits.buffered_total_bytes", l.BufferedTotal},
+		{"limits.caller_requests", int64(l.CallerRequests)}, {"limits.ring_events", int64(l.RingEvents)},
+		{"limits.claims_per_bucket", int64(l.ClaimsPerBucket)}, {"limits.claim_buckets", int64(l.ClaimBuckets)},
+		{"limits.worker_connections", int64(l.WorkerConnection)},
+	}
+}
+
+func (t Times) fields() []field[fulmarclock.Millis] {
+	return []field[fulmarclock.Millis]{
+		{"times.read_header", t.ReadHeader}, {"times.read_body", t.ReadBody}, {"times.write_idle", t.WriteIdle},
+		{"times.connect_worker", t.ConnectWorker}, {"times.acknowledge", t.Acknowledge}, {"times.fresh_idle", t.FreshIdle},
+		{"times.digest", t.Digest}, {"times.vm_list", t.VMList}, {"times.lease", t.Lease},
+		{"times.platform_call", t.PlatformCall}, {"times.stop_not_ready", t.StopNotReady},
+		{"times.stop_in_flight", t.StopInFlight}, {"times.claim_kept", t.ClaimKept}, {"times.claim_batch", t.ClaimBatch},
+	}
+}
--- /dev/null
+++ b/internal/fulmarstandin/fleet.go
@@ -0,0 +1,85 @@
+package fulmarstandin
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+)
+
+// vmSilence is how long a VM may go without registering before the list drops it, in milliseconds.
+const vmSilence = 5 * fulmarclock.Second
+
+// Fleet is the stand-in's VM list.
+type Fleet struct {
+	clock   fulmarclock.Clock
+	mu      sync.Mutex
+	version int64
+	vms     map[string]*listedVM
+}
+
+type listedVM struct {
+	vm   fulmarplatform.VM
+	seen fulmarclock.Millis
+}
+
+// NewFleet returns an empty list.
+func NewFleet(clock fulmarclock.Clock) *Fleet {
+	return &Fleet{clock: clock, vms: map[string]*listedVM{}}
+}
+
+// Register adds a VM or renews its line; a leaving VM stays leaving until it is rebooted.
+func (f *Fleet) Register(vm fulmarplatform.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed, known := f.vms[vm.ID]
+	if !known {
+		listed = &listedVM{}
+		f.vms[vm.ID] = listed
+		vm.State = fulmarplatform.VMLive
+	} else {
+		vm.State = listed.vm.State
+	}
+	if listed.vm != vm {
+		f.version++
+	}
+	listed.vm = vm
+	listed.seen = f.clock.Now()
+}
+
+// SetState changes the state of a VM and tells whether it is listed.
+func (f *Fleet) SetState(id string, state fulmarplatform.VMState) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed, known := f.vms[id]
+	if !known {
+		return false
+	}
+	listed.vm.State = state
+	f.version++
+	return true
+}
+
+// List returns the list in order of VM.
+func (f *Fleet) List() fulmarplatform.VMList {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropSilent()
+	list := fulmarplatform.VMList{Version: f.version}
+	for _, listed := range f.vms {
+		list.VMs = append(list.VMs, listed.vm)
+	}
+	sort.Slice(list.VMs, func(i, j int) bool { return list.VMs[i].ID < list.VMs[j].ID })
+	return list
+}
+
+func (f *Fleet) dropSilent() {
+	now := f.clock.Now()
+	for id, listed := range f.vms {
+		if now-listed.seen > vmSilence {
+			delete(f.vms, id)
+			f.version++
+		}
+	}
+}
--- /dev/null
+++ b/internal/fulmarstandin/journal.go
@@ -0,0 +1,62 @@
+package fulmarstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+)
+
+// Run is one request that a worker started to run.
+type Run struct {
+	Worker    string `json:"worker"`
+	RequestID string `json:"request_id"`
+	Key       string `json:"key,omitempty"`
+	Method    string `json:"method"`
+	Pool      string `json:"pool"`
+	StartUnix int64  `json:"start_unix_ms"`
+}
+
+// Journal lists the runs of one worker or of several.
+type Journal struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+// Add appends a run.
+func (j *Journal) Add(run Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs = append(j.runs, run)
+}
+
+// Runs returns a copy of the list.
+func (j *Journal) Runs() []Run {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Run(nil), j.runs...)
+}
+
+// CountByRequest returns how often each request ran.
+func (j *Journal) CountByRequest() map[string]int {
+	return j.countBy(func(r Run) string { return r.RequestID })
+}
+
+// CountByKey returns how often each idempotency key ran.
+func (j *Journal) CountByKey() map[string]int {
+	return j.countBy(func(r Run) string { return r.Key })
+}
+
+func (j *Journal) countBy(name func(Run) string) map[string]int {
+	counts := map[string]int{}
+	for _, run := range j.Runs() {
+		if value := name(run); value != "" {
+			counts[value]++
+		}
+	}
+	return counts
+}
+
+func writeRuns(rw http.ResponseWriter, runs []Run) {
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(runs)
+}
--- /dev/null
+++ b/internal/fulmarstandin/platform.go
@@ -0,0 +1,243 @@
+package fulmarstandin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/labstack/echo/v4"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+)
+
+const (
+	valueLimit = 1 << 20
+	// watchPoll is how often a waiting watch looks for leases that have ended, in milliseconds.
+	watchPoll = 200 * fulmarclock.Millis(1)
+	// Paths of the stand-in's own control interface.
+	pathFaults = "/standin/faults"
+	pathCalls  = "/standin/calls"
+)
+
+// Platform is the stand-in of the platform, served over HTTP.
+type Platform struct {
+	clock  fulmarclock.Clock
+	store  *Store
+	fleet  *Fleet
+	faults Faults
+	server *http.Server
+	listen net.Listener
+	done   chan struct{}
+
+	mu    sync.Mutex
+	calls map[string]int64
+}
+
+// StartPlatform serves a platform at an address; port 0 takes a free one.
+func StartPlatform(address string, clock fulmarclock.Clock) (*Platform, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	p := &Platform{
+		clock: clock, store: NewStore(clock), fleet: NewFleet(clock),
+		listen: listener, done: make(chan struct{}), calls: map[string]int64{},
+	}
+	p.server = &http.Server{Handler: p.routes(), ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		defer close(p.done)
+		_ = p.server.Serve(listener)
+	}()
+	return p, nil
+}
+
+// URL returns the platform's base URL.
+func (p *Platform) URL() string { return "http://" + p.listen.Addr().String() }
+
+// Faults returns the fault table's holder.
+func (p *Platform) Faults() *Faults { return &p.faults }
+
+// Store returns the key-value state.
+func (p *Platform) Store() *Store { return p.store }
+
+// Fleet returns the VM list.
+func (p *Platform) Fleet() *Fleet { return p.fleet }
+
+// Calls returns how often each operation was called.
+func (p *Platform) Calls() map[string]int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	result := make(map[string]int64, len(p.calls))
+	for operation, n := range p.calls {
+		result[operation] = n
+	}
+	return result
+}
+
+// Close stops the server and waits for it.
+func (p *Platform) Close() {
+	_ = p.server.Close()
+	<-p.done
+}
+
+func (p *Platform) routes() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	g := e.Group("", p.faulty)
+	g.GET(fulmarplatform.PathGet, p.get)
+	g.POST(fulmarplatform.PathSwap, p.swap)
+	g.GET(fulmarplatform.PathWatch, p.watch)
+	g.POST(fulmarplatform.PathGrant, p.grant)
+	g.POST(fulmarplatform.PathRenew, p.renew)
+	g.POST(fulmarplatform.PathRevoke, p.revoke)
+	g.GET(fulmarplatform.PathVMs, p.vms)
+	g.POST(fulmarplatform.PathVMs, p.register)
+	g.POST(fulmarplatform.PathDrain, p.setState(fulmarplatform.VMLeaving))
+	g.POST(fulmarplatform.PathReboot, p.setState(fulmarplatform.VMLive))
+	e.POST(pathFaults, p.setFaults)
+	e.GET(pathCalls, func(c echo.Context) error { return c.JSON(http.StatusOK, p.Calls()) })
+	return e
+}
+
+// faulty counts a call and applies the fault table to it.
+func (p *Platform) faulty(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		p.mu.Lock()
+		p.calls[c.Path()]++
+		p.mu.Unlock()
+		table := p.faults.Table()
+		if table.SlowMillis > 0 {
+			<-p.clock.After(table.SlowMillis)
+		}
+		if table.Down {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return next(c)
+	}
+}
+
+func (p *Platform) get(c echo.Context) error {
+	return c.JSON(http.StatusOK, p.store.Get(c.QueryParam("key")))
+}
+
+func (p *Platform) swap(c echo.Context) error {
+	var request fulmarplatform.SwapRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	if len(request.Value) > valueLimit {
+		return c.NoContent(http.StatusRequestEntityTooLarge)
+	}
+	revision, swapped := p.store.Swap(request)
+	if p.faults.takeLostAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if !swapped {
+		status = http.StatusConflict
+	}
+	return c.JSON(status, fulmarplatform.SwapReply{Revision: revision})
+}
+
+func (p *Platform) watch(c echo.Context) error {
+	after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	wait, err := strconv.ParseInt(c.QueryParam("wait_ms"), 10, 64)
+	if err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	changes, answered := p.await(c.Request().Context(), c.QueryParam("prefix"), fulmarplatform.Revision(after), fulmarclock.Millis(wait))
+	if !answered {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.JSON(http.StatusOK, changes)
+}
+
+func (p *Platform) await(ctx context.Context, prefix string, after fulmarplatform.Revision, wait fulmarclock.Millis) (fulmarplatform.Changes, bool) {
+	end := p.clock.Now() + wait
+	for {
+		changes, changed := p.store.ChangesAfter(prefix, after)
+		if p.faults.Table().Down || ctx.Err() != nil {
+			return changes, false
+		}
+		if len(changes.Entries) > 0 || p.clock.Now() >= end {
+			return changes, true
+		}
+		select {
+		case <-changed:
+		case <-p.clock.After(watchPoll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (p *Platform) grant(c echo.Context) error {
+	var request fulmarplatform.LeaseRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	lease := p.store.Grant(fulmarclock.Millis(request.TTLMillis))
+	return c.JSON(http.StatusOK, fulmarplatform.LeaseReply{Lease: lease})
+}
+
+func (p *Platform) renew(c echo.Context) error {
+	var request fulmarplatform.LeaseRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	if !p.store.Renew(request.Lease) {
+		return c.NoContent(http.StatusGone)
+	}
+	return c.JSON(http.StatusOK, fulmarplatform.LeaseReply{Lease: request.Lease})
+}
+
+func (p *Platform) revoke(c echo.Context) error {
+	var request fulmarplatform.LeaseRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	p.store.Revoke(request.Lease)
+	return c.JSON(http.StatusOK, fulmarplatform.LeaseReply{Lease: request.Lease})
+}
+
+func (p *Platform) vms(c echo.Context) error {
+	list := p.fleet.List()
+	if strconv.FormatInt(list.Version, 10) == c.QueryParam("after") {
+		return c.NoContent(http.StatusNotModified)
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+func (p *Platform) register(c echo.Context) error {
+	var vm fulmarplatform.VM
+	if err := c.Bind(&vm); err != nil {
+		return err
+	}
+	p.fleet.Register(vm)
+	return c.NoContent(http.StatusOK)
+}
+
+func (p *Platform) setState(state fulmarplatform.VMState) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !p.fleet.SetState(c.QueryParam("id"), state) {
+			return c.NoContent(http.StatusNotFound)
+		}
+		return c.NoContent(http.StatusOK)
+	}
+}
+
+func (p *Platform) setFaults(c echo.Context) error {
+	var table FaultTable
+	if err := c.Bind(&table); err != nil {
+		return err
+	}
+	p.faults.Set(table)
+	return c.NoContent(http.StatusOK)
+}
--- /dev/null
+++ b/internal/fulmarstandin/worker.go
@@ -0,0 +1,307 @@
+package fulmarstandin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+)
+
+// Fault is how a worker or a single request goes wrong.
+type Fault string
+
+// Faults of a worker, set for all its requests or by the query parameter "fault" for one.
+const (
+	FaultNone Fault = ""
+	// FaultFail answers status 500 at once.
+	FaultFail Fault = "fail"
+	// FaultSilent reads the request and never answers; it does not run it.
+	FaultSilent Fault = "silent"
+	// FaultCutBefore closes the connection before the request runs.
+	FaultCutBefore Fault = "cut-before"
+	// FaultCutAfter runs the request and closes the connection in place of an answer.
+	FaultCutAfter Fault = "cut-after"
+	// FaultHalf runs the request and closes the connection within the answer.
+	FaultHalf Fault = "half"
+	// FaultUnframed runs the request and sends an answer that ends with the connection.
+	FaultUnframed Fault = "unframed"
+	// FaultBusy refuses as not run.
+	FaultBusy Fault = "busy"
+)
+
+// HeaderRequestID names a request in the journal.
+const HeaderRequestID = "X-Request-Id"
+
+const (
+	registerEvery     = fulmarclock.Second
+	pathWorkerFault   = "/standin/fault"
+	pathWorkerJournal = "/standin/journal"
+)
+
+// WorkerOptions describe one worker of the stand-in.
+type WorkerOptions struct {
+	VM          fulmarplatform.VM
+	Connections int
+	Journal     *Journal
+	// Platform, when set, is where the worker registers.
+	Platform *fulmarplatform.Client
+}
+
+// Worker is the stand-in of one worker with its slots and connections.
+type Worker struct {
+	options WorkerOptions
+	clock   fulmarclock.Clock
+	server  *http.Server
+	listen  net.Listener
+	fault   atomic.Value
+	open    atomic.Int64
+	running atomic.Int64
+	peak    atomic.Int64
+	busy    atomic.Int64
+	stop    chan struct{}
+	tasks   sync.WaitGroup
+
+	mu    sync.Mutex
+	epoch int64
+}
+
+// StartWorker serves a worker at the VM's address; port 0 takes a free one.
+func StartWorker(options WorkerOptions, clock fulmarclock.Clock) (*Worker, error) {
+	listener, err := net.Listen("tcp", options.VM.Address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	options.VM.Address = listener.Addr().String()
+	w := &Worker{options: options, clock: clock, stop: make(chan struct{})}
+	w.listen = &limitedListener{Listener: listener, worker: w}
+	w.fault.Store(FaultNone)
+	w.server = &http.Server{Handler: w, ReadHeaderTimeout: 10 * time.Second}
+	w.tasks.Add(1)
+	go func() {
+		defer w.tasks.Done()
+		_ = w.server.Serve(w.listen)
+	}()
+	if options.Platform != nil {
+		w.tasks.Add(1)
+		go w.register()
+	}
+	return w, nil
+}
+
+// VM returns the worker's line in the VM list.
+func (w *Worker) VM() fulmarplatform.VM { return w.options.VM }
+
+// SetFault sets the fault of all later requests.
+func (w *Worker) SetFault(fault Fault) { w.fault.Store(fault) }
+
+// Running returns the requests that run now.
+func (w *Worker) Running() int64 { return w.running.Load() }
+
+// BusyRefusals returns how many requests found every slot taken.
+func (w *Worker) BusyRefusals() int64 { return w.busy.Load() }
+
+// Close kills the worker with its connections and waits for it.
+func (w *Worker) Close() {
+	close(w.stop)
+	_ = w.server.Close()
+	w.tasks.Wait()
+}
+
+func (w *Worker) register() {
+	defer w.tasks.Done()
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), registerEvery.Duration())
+		_ = w.options.Platform.Register(ctx, w.options.VM)
+		cancel()
+		select {
+		case <-w.clock.After(registerEvery):
+		case <-w.stop:
+			return
+		}
+	}
+}
+
+// ServeHTTP runs one request in a slot, or refuses it as not run when every slot is taken.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case pathWorkerFault:
+		w.SetFault(Fault(r.URL.Query().Get("set")))
+		return
+	case pathWorkerJournal:
+		writeRuns(rw, w.options.Journal.Runs())
+		return
+	}
+	fault := w.faultOf(r)
+	if !w.enter(fault) {
+		refuseAsNotRun(rw, "busy")
+		return
+	}
+	defer w.running.Add(-1)
+	if w.isStale(r) {
+		refuseAsNotRun(rw, "stale-epoch")
+		return
+	}
+	w.run(rw, r, fault)
+}
+
+func (w *Worker) faultOf(r *http.Request) Fault {
+	if fault := r.URL.Query().Get("fault"); fault != "" {
+		return Fault(fault)
+	}
+	return w.fault.Load().(Fault)
+}
+
+func (w *Worker) enter(fault Fault) bool {
+	if fault == FaultBusy {
+		return false
+	}
+	if w.running.Add(1) > int64(w.options.VM.Slots) {
+		w.running.Add(-1)
+		w.busy.Add(1)
+		return false
+	}
+	return true
+}
+
+// isStale tells whether a request comes under an older assignment than one already seen.
+func (w *Worker) isStale(r *http.Request) bool {
+	epoch, err := strconv.ParseInt(r.Header.Get(fulmarapi.HeaderEpoch), 10, 64)
+	if err != nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if epoch < w.epoch {
+		return true
+	}
+	w.epoch = epoch
+	return false
+}
+
+func (w *Worker) run(rw http.ResponseWriter, r *http.Request, fault Fault) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	switch fault {
+	case FaultSilent:
+		select {
+		case <-r.Context().Done():
+		case <-w.stop:
+		}
+		panic(http.ErrAbortHandler)
+	case FaultCutBefore:
+		panic(http.ErrAbortHandler)
+	}
+	w.options.Journal.Add(Run{
+		Worker: w.options.VM.ID, RequestID: r.Header.Get(HeaderRequestID), Method: r.Method,
+		Key: r.Header.Get(fulmarapi.HeaderIdempotencyKey), Pool: r.Header.Get(fulmarapi.HeaderPool),
+		StartUnix: w.clock.Unix(),
+	})
+	if fault == FaultFail {
+		http.Error(rw, "task failed", http.StatusInternalServerError)
+		return
+	}
+	w.work(r)
+	w.answer(rw, r, fault, body)
+}
+
+// work takes as long as the query parameter "work" says, in milliseconds.
+func (w *Worker) work(r *http.Request) {
+	millis, err := strconv.ParseInt(r.URL.Query().Get("work"), 10, 64)
+	if err != nil || millis <= 0 {
+		return
+	}
+	select {
+	case <-w.clock.After(fulmarclock.Millis(millis)):
+	case <-w.stop:
+	}
+}
+
+// answer repeats the request's identity and body, padded to the query parameter "size" in bytes.
+func (w *Worker) answer(rw http.ResponseWriter, r *http.Request, fault Fault, body []byte) {
+	text := fmt.Sprintf("request=%s method=%s body=%s\n", r.Header.Get(HeaderRequestID), r.Method, body)
+	data := make([]byte, 0, len(text))
+	data = append(data, text...)
+	if size, err := strconv.Atoi(r.URL.Query().Get("size")); err == nil && size > len(data) {
+		data = append(data, make([]byte, size-len(data))...)
+	}
+	rw.Header().Set("X-Worker", w.options.VM.ID)
+	switch fault {
+	case FaultCutAfter:
+		panic(http.ErrAbortHandler)
+	case FaultHalf:
+		rw.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		_, _ = rw.Write(data[:len(data)/2])
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	case FaultUnframed:
+		w.answerUnframed(rw, data)
+	default:
+		rw.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		_, _ = rw.Write(data)
+	}
+}
+
+func (w *Worker) answerUnframed(rw http.ResponseWriter, data []byte) {
+	connection, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer connection.Close()
+	_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n%s", data)
+}
+
+func refuseAsNotRun(rw http.ResponseWriter, reason string) {
+	rw.Header().Set(fulmarapi.HeaderOutcome, string(fulmarapi.NotRun))
+	rw.Header().Set(fulmarapi.HeaderReason, reason)
+	rw.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// limitedListener closes each connection above the worker's limit at once.
+type limitedListener struct {
+	net.Listener
+	worker *Worker
+}
+
+// Accept returns the next connection within the limit.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		open := l.worker.open.Add(1)
+		if open > l.worker.peak.Load() {
+			l.worker.peak.Store(open)
+		}
+		limited := &limitedConnection{Conn: connection, worker: l.worker}
+		if l.worker.options.Connections == 0 || open <= int64(l.worker.options.Connections) {
+			return limited, nil
+		}
+		_ = limited.Close()
+	}
+}
+
+type limitedConnection struct {
+	net.Conn
+	worker *Worker
+	once   sync.Once
+}
+
+// Close closes the connection and frees its place.
+func (c *limitedConnection) Close() error {
+	c.once.Do(func() { c.worker.open.Add(-1) })
+	return c.Conn.Close()
+}
