--- /dev/null
+++ b/internal/fulmardispatch/decision_test.go
@@ -0,0 +1,143 @@
+package fulmardispatch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
+)
+
+func TestFairShare(t *testing.T) {
+	cases := []struct {
+		name          string
+		capacity, own int
+		others        []int
+		want          int
+	}{
+		{"alone", 80, 500, nil, 80},
+		{"enough for all", 80, 10, []int{20, 30}, 80},
+		{"equal demands", 80, 100, []int{100, 100, 100}, 20},
+		{"small demands leave the rest", 80, 100, []int{10, 10}, 60},
+		{"own demand is small", 80, 5, []int{100, 100}, 27},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Assert(t, fulmardispatch.FairShare(tc.capacity, tc.own, tc.others), qt.Equals, tc.want)
+		})
+	}
+}
+
+// TestFairSharesUseEverySlot checks that the members together use the whole
+// capacity when they ask for it, and exceed it by less than a slot each.
+func TestFairSharesUseEverySlot(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		capacity := rapid.IntRange(1, 200).Draw(r, "capacity")
+		demands := rapid.SliceOfN(rapid.IntRange(0, 300), 1, 8).Draw(r, "demands")
+		total, used := 0, 0
+		for i, own := range demands {
+			others := append(append([]int(nil), demands[:i]...), demands[i+1:]...)
+			used += min(own, fulmardispatch.FairShare(capacity, own, others))
+			total += own
+		}
+		if used < min(total, capacity) {
+			r.Fatalf("%d of %d slots are used for a demand of %d", used, capacity, total)
+		}
+		if used > capacity+len(demands) {
+			r.Fatalf("%d of %d slots are used", used, capacity)
+		}
+	})
+}
+
+func TestBlame(t *testing.T) {
+	cases := []struct {
+		name                   string
+		failures, answers      int
+		restFailures, restSeen int
+		want                   bool
+	}{
+		{"too little evidence", 5, 0, 0, 100, false},
+		{"fails everything", 16, 0, 0, 100, true},
+		{"fails seldom", 2, 14, 0, 100, false},
+		{"all fail alike", 16, 0, 90, 100, false},
+		{"the rest fail a little", 12, 4, 20, 100, true},
+		{"alone in its pool", 16, 0, 0, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var h fulmardispatch.Health
+			for range tc.answers {
+				h.Add(false)
+			}
+			for range tc.failures {
+				h.Add(true)
+			}
+			qt.Assert(t, fulmardispatch.IsToBlame(&h, tc.restFailures, tc.restSeen), qt.Equals, tc.want)
+		})
+	}
+}
+
+func TestEjectedWorkerIsProbedBack(t *testing.T) {
+	c := qt.New(t)
+	var h fulmardispatch.Health
+	h.Eject(0, 2000)
+	c.Assert(h.IsProbeDue(1999, true), qt.IsFalse)
+	c.Assert(h.IsProbeDue(2000, true), qt.IsTrue)
+	c.Assert(h.IsProbeDue(2000, false), qt.IsFalse)
+	c.Assert(h.IsProbeDue(6000, false), qt.IsTrue)
+	h.ProbeEnded(2000, true)
+	c.Assert(h.IsProbeDue(5999, true), qt.IsFalse)
+	for range 3 {
+		h.ProbeEnded(6000, false)
+	}
+	c.Assert(h.Verdict(), qt.Equals, fulmardispatch.Healthy)
+}
+
+func TestRetryBudgetIsAShareOfRequests(t *testing.T) {
+	c := qt.New(t)
+	budget := fulmardispatch.NewRetryBudget(0.2)
+	retries := 0
+	for range 1000 {
+		budget.Earn()
+		for budget.Spend() {
+			retries++
+		}
+	}
+	c.Assert(retries >= 200 && retries <= 211, qt.IsTrue, qt.Commentf("%d retries", retries))
+	c.Assert(fulmardispatch.NewRetryBudget(0).Spend(), qt.IsFalse)
+}
+
+func TestPatienceFollowsThePool(t *testing.T) {
+	c := qt.New(t)
+	var l fulmardispatch.Latency
+	c.Assert(l.Patience(), qt.Equals, fulmarclock.Second)
+	for range 200 {
+		l.Add(5000)
+	}
+	c.Assert(l.Patience() >= 5000, qt.IsTrue)
+	c.Assert(l.Wait(80, 40), qt.Equals, fulmarclock.Millis(10000))
+}
+
+func TestPoliciesChooseAmongTheCandidates(t *testing.T) {
+	for _, name := range []string{"round-robin", "least-loaded", "two-choices", "normalized-difference"} {
+		t.Run(name, func(t *testing.T) {
+			policy, known := fulmardispatch.PolicyByName(name)
+			qt.Assert(t, known, qt.IsTrue)
+			rapid.Check(t, func(r *rapid.T) {
+				running := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 20).Draw(r, "running")
+				random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 0))
+				var candidates []fulmardispatch.Candidate
+				for _, n := range running {
+					candidates = append(candidates, fulmardispatch.Candidate{Running: n, Slots: 8})
+				}
+				chosen := policy.Choose(candidates, random.IntN)
+				if chosen < 0 || chosen >= len(candidates) {
+					r.Fatalf("place %d of %d", chosen, len(candidates))
+				}
+			})
+		})
+	}
+}
--- a/internal/fulmardispatch/exchange.go
+++ b/internal/fulmardispatch/exchange.go
@@ -158,7 +158,7 @@
 	if _, err := io.CopyN(io.Discard, response.Body, refusalBodyMost); err != io.EOF {
 		_ = e.connection.Close()
 	}
-	return &Failure{Result: result, Reason: fulmarapi.ReasonAttemptsSpent}
+	return &Failure{Result: result, Reason: fulmarapi.ReasonWorkerRefused}
 }
 
 // isUnframed tells whether only the end of the connection marks the end of the body.
--- /dev/null
+++ b/internal/fulmardispatch/transport_test.go
@@ -0,0 +1,236 @@
+package fulmardispatch_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
+	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+)
+
+// scriptedWorker answers the n-th request that it receives, over all
+// connections, as the script says; a nil script entry closes the connection.
+type scriptedWorker struct {
+	listener net.Listener
+	script   func(n int) string
+	// endAfter makes the worker end each connection after an answer.
+	endAfter bool
+	received atomic.Int64
+	opened   atomic.Int64
+	tasks    sync.WaitGroup
+	mu       sync.Mutex
+	open     []net.Conn
+}
+
+func startScripted(c *qt.C, endAfter bool, script func(n int) string) *scriptedWorker {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	w := &scriptedWorker{listener: listener, script: script, endAfter: endAfter}
+	w.tasks.Add(1)
+	go w.accept()
+	c.Cleanup(w.close)
+	return w
+}
+
+func (w *scriptedWorker) accept() {
+	defer w.tasks.Done()
+	for {
+		conn, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		w.opened.Add(1)
+		w.mu.Lock()
+		w.open = append(w.open, conn)
+		w.mu.Unlock()
+		w.tasks.Add(1)
+		go w.serve(conn)
+	}
+}
+
+func (w *scriptedWorker) serve(conn net.Conn) {
+	defer w.tasks.Done()
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		answer := w.script(int(w.received.Add(1)))
+		if answer == "" {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+		if w.endAfter {
+			return
+		}
+	}
+}
+
+func (w *scriptedWorker) close() {
+	_ = w.listener.Close()
+	w.mu.Lock()
+	for _, conn := range w.open {
+		_ = conn.Close()
+	}
+	w.mu.Unlock()
+	w.tasks.Wait()
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func onlyFirst(n int) string {
+	if n == 1 {
+		return whole
+	}
+	return ""
+}
+
+func newTransport(c *qt.C) *fulmardispatch.Transport {
+	transport := fulmardispatch.NewTransport(fulmardispatch.TransportOptions{
+		Clock: fulmarclock.NewSystem(), Connect: 5000, Acknowledge: 3000, FreshIdle: 60000,
+	})
+	c.Cleanup(transport.Close)
+	return transport
+}
+
+func grantTo(address string) fulmardispatch.Grant {
+	return fulmardispatch.Grant{
+		Target:   fulmardispatch.Target{VM: "vm", Address: address, Pool: "p", Epoch: 1},
+		Patience: fulmarclock.Minute,
+	}
+}
+
+func requestOf(method string, idempotent bool) *fulmardispatch.Request {
+	return &fulmardispatch.Request{
+		Method: method, URL: &url.URL{Path: "/"}, Host: "p", Idempotent: idempotent,
+		Header: http.Header{fulmarapi.HeaderIdempotencyKey: {"k"}},
+	}
+}
+
+func sendWhole(t *fulmardispatch.Transport, grant fulmardispatch.Grant, r *fulmardispatch.Request) *fulmardispatch.Failure {
+	answer, failure := t.Send(context.Background(), grant, r, nil)
+	if failure != nil {
+		return failure
+	}
+	defer answer.Close()
+	_, _ = io.Copy(io.Discard, answer)
+	return nil
+}
+
+// TestHTTPTransportReplays shows why the library's transport does not carry
+// requests to workers: a POST with a key runs twice when its connection dies.
+func TestHTTPTransportReplays(t *testing.T) {
+	c := qt.New(t)
+	w := startScripted(c, false, onlyFirst)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		request, err := http.NewRequest(http.MethodPost, "http://"+w.listener.Addr().String(), nil)
+		c.Assert(err, qt.IsNil)
+		request.Header.Set(fulmarapi.HeaderIdempotencyKey, "k")
+		response, err := client.Do(request)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	}
+	c.Assert(w.received.Load() > 2, qt.IsTrue, qt.Commentf("two requests were received %d times", w.received.Load()))
+}
+
+func TestTransportNeverReplays(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			w := startScripted(c, false, onlyFirst)
+			transport, grant := newTransport(c), grantTo(w.listener.Addr().String())
+			c.Assert(sendWhole(transport, grant, requestOf(method, true)) == nil, qt.IsTrue)
+			failure := sendWhole(transport, grant, requestOf(method, true))
+			c.Assert(failure.MayHaveRun, qt.IsTrue)
+			c.Assert(w.received.Load(), qt.Equals, int64(2))
+			c.Assert(w.opened.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestAnswerForms lists what a worker may send and what becomes of it.
+func TestAnswerForms(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		result       fulmardispatch.Result
+		reason       fulmarapi.Reason
+		mayHaveRun   bool
+		cut          bool
+	}{
+		{name: "whole", answer: whole},
+		{name: "informational first", answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + whole},
+		{name: "informational without end", answer: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20), result: fulmardispatch.ResultFailed, reason: fulmarapi.ReasonWorkerLost, mayHaveRun: true},
+		{name: "chunked", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{name: "chunked and cut", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", cut: true},
+		{name: "length and cut", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", cut: true},
+		{name: "no framing", answer: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", result: fulmardispatch.ResultFailed, reason: fulmarapi.ReasonAnswerUnframed, mayHaveRun: true},
+		{name: "not HTTP", answer: "hello\r\n\r\n", result: fulmardispatch.ResultFailed, reason: fulmarapi.ReasonWorkerLost, mayHaveRun: true},
+		{name: "half a header", answer: "HTTP/1.1 200 OK\r\nConte", result: fulmardispatch.ResultFailed, reason: fulmarapi.ReasonWorkerLost, mayHaveRun: true},
+		{name: "busy", answer: "HTTP/1.1 503 x\r\nFulmardrum-Outcome: not-run\r\nFulmardrum-Reason: busy\r\nContent-Length: 0\r\n\r\n", result: fulmardispatch.ResultBusy, reason: fulmarapi.ReasonWorkerRefused},
+		{name: "stale epoch", answer: "HTTP/1.1 503 x\r\nFulmardrum-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", result: fulmardispatch.ResultStale, reason: fulmarapi.ReasonWorkerRefused},
+		{name: "own status 503", answer: "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := startScripted(c, true, func(int) string { return tc.answer })
+			answer, failure := newTransport(c).Send(context.Background(), grantTo(w.listener.Addr().String()), requestOf(http.MethodPost, false), nil)
+			if tc.reason != "" {
+				c.Assert(failure.Result, qt.Equals, tc.result)
+				c.Assert(failure.Reason, qt.Equals, tc.reason)
+				c.Assert(failure.MayHaveRun, qt.Equals, tc.mayHaveRun)
+				return
+			}
+			c.Assert(failure == nil, qt.IsTrue)
+			defer answer.Close()
+			_, err := io.Copy(io.Discard, answer)
+			var cut *fulmardispatch.CutError
+			c.Assert(errors.As(err, &cut), qt.Equals, tc.cut, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func TestSilentWorkerIsGivenUpOnlyWithLeave(t *testing.T) {
+	for _, leave := range []bool{true, false} {
+		t.Run(fmt.Sprint(leave), func(t *testing.T) {
+			c := qt.New(t)
+			release := make(chan struct{})
+			var once sync.Once
+			answerNow := func() { once.Do(func() { close(release) }) }
+			w := startScripted(c, false, func(int) string { <-release; return whole })
+			c.Cleanup(answerNow)
+			grant := grantTo(w.listener.Addr().String())
+			grant.Patience = 1
+			_, failure := newTransport(c).Send(context.Background(), grant, requestOf(http.MethodGet, true), func() bool {
+				if !leave {
+					answerNow()
+				}
+				return leave
+			})
+			if !leave {
+				c.Assert(failure == nil, qt.IsTrue)
+				return
+			}
+			c.Assert(failure.Result, qt.Equals, fulmardispatch.ResultSilent)
+		})
+	}
+}
--- a/internal/fulmarentry/passage.go
+++ b/internal/fulmarentry/passage.go
@@ -141,6 +141,9 @@
 		return nil, true
 	}
 	p.scheduler.Finish(p.ticket, failure.Result)
+	if hasEnded(p.ctx) && !failure.MayHaveRun {
+		return p.ended(refusalOfContext(p.ctx)), false
+	}
 	return p.ended(fulmarapi.NewRefusal(failure.Reason, failure.Error())), false
 }
 
--- a/internal/fulmarentry/respond.go
+++ b/internal/fulmarentry/respond.go
@@ -71,6 +71,10 @@
 func (w *answerWriter) readStart(answer *fulmardispatch.Answer) error {
 	n, err := io.ReadFull(answer, w.buffer)
 	w.buffer = w.buffer[:n]
+	var cut *fulmardispatch.CutError
+	if errors.As(err, &cut) {
+		return err // its cause may be io.ErrUnexpectedEOF too
+	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		w.whole = true
 		return nil
--- a/pkg/fulmarapi/refusal.go
+++ b/pkg/fulmarapi/refusal.go
@@ -26,7 +26,7 @@
 	ReasonClaimsFull       Reason = "claims-full"
 	ReasonClaimUnavailable Reason = "claim-unavailable"
 	ReasonClaimExpired     Reason = "claim-expired"
-	ReasonAttemptsSpent    Reason = "attempts-spent"
+	ReasonWorkerRefused    Reason = "worker-refused"
 	ReasonWorkerLost       Reason = "worker-lost"
 	ReasonWorkerTimeout    Reason = "worker-timeout"
 	ReasonAnswerCut        Reason = "answer-cut"
@@ -39,7 +39,7 @@
 	ReasonBodyIncomplete, ReasonMemoryFull, ReasonQueueFull, ReasonTeamQueueFull, ReasonRingFull,
 	ReasonDeadlineTooSoon, ReasonDeadlinePassed, ReasonNoConfiguration, ReasonStopping,
 	ReasonCallerGone, ReasonDuplicateKey, ReasonClaimsFull, ReasonClaimUnavailable, ReasonClaimExpired,
-	ReasonAttemptsSpent, ReasonWorkerLost, ReasonWorkerTimeout, ReasonAnswerCut,
+	ReasonWorkerRefused, ReasonWorkerLost, ReasonWorkerTimeout, ReasonAnswerCut,
 	ReasonAnswerUnframed,
 }
 
