Fair shares add up to the capacity; bursts measured

Cause: each member's share was rounded up, so that 7 members of a pool of 80 slots were allowed 84 running requests together. The 4 too many were probed for all through a burst and refused as busy. The slots that do not divide now go to the first members by name; every member works out the same split.

Ruled out: rounding down, which would leave up to 6 of 80 slots idle (7.5%).

The property test now demands that the shares sum to exactly the smaller of demand and capacity; before, it allowed one slot too many a member.

--- a/internal/fulmarbench/load.go
+++ b/internal/fulmarbench/load.go
@@ -25,8 +25,10 @@
 )
 
 const (
-	burstFactor  = 5.0
-	quietFactor  = 1.0 / 20
+	burstFactor = 5.0
+	quietFactor = 1.0 / 20
+	// burstFill is the part of a turn, as a divisor, in which a burst fills its pool's queue.
+	burstFill    = 4
 	idleForHost  = 4096
 	openMost     = 50000
 	clientMargin = 2 * time.Second
@@ -44,6 +46,8 @@
 	Duration time.Duration
 	// Turn, when set, is how long each pool in its turn asks for five times its mean; the others ask for a twentieth.
 	Turn time.Duration
+	// Slots, when set, is each pool's number of slots, against which the answers within a turn are held.
+	Slots int
 	// Work is each request's time on the worker.
 	Work    time.Duration
 	Timeout time.Duration
@@ -120,15 +124,32 @@
 	if g.load.Turn == 0 {
 		return g.load.Rate
 	}
-	if int(at/g.load.Turn)%len(g.load.Pools) == pool {
+	if g.load.isTurnOf(pool, at) {
 		return g.load.Rate * burstFactor
 	}
 	return g.load.Rate * quietFactor
 }
 
+func (l Load) isTurnOf(pool int, at time.Duration) bool {
+	return int(at/l.Turn)%len(l.Pools) == pool
+}
+
+// isWithinBurst tells whether a pool's burst is at its height: the first part
+// of its turn, while its queue fills, is left out.
+func (l Load) isWithinBurst(pool int, at time.Duration) bool {
+	return l.Turn > 0 && at < l.Duration && l.isTurnOf(pool, at) && at%l.Turn >= l.Turn/burstFill
+}
+
+// burstHeight returns how long bursts were at their height in a load of whole turns.
+func (l Load) burstHeight() time.Duration {
+	turns := l.Duration / l.Turn
+	return turns * (l.Turn - l.Turn/burstFill)
+}
+
 // shot is one request to be sent.
 type shot struct {
 	id      string
+	place   int
 	pool    string
 	target  string
 	at      time.Duration
@@ -139,7 +160,7 @@
 
 func (g *generator) shot(random *rand.Rand, pool, n int, at time.Duration) shot {
 	s := shot{
-		id: fmt.Sprintf("%d-%d-%d", g.load.Seed, pool, n), pool: g.load.Pools[pool], at: at,
+		id: fmt.Sprintf("%d-%d-%d", g.load.Seed, pool, n), place: pool, pool: g.load.Pools[pool], at: at,
 		target: g.load.Targets[random.IntN(len(g.load.Targets))], method: http.MethodGet, urgency: fulmarapi.Normal,
 	}
 	if random.Float64() < g.load.Writes {
--- a/internal/fulmarbench/main.go
+++ b/internal/fulmarbench/main.go
@@ -73,6 +73,7 @@
 	load.Flag("duration", "Length of the load.").Default("10s").DurationVar(&o.load.Duration)
 	load.Flag("turn", "Each pool in its turn asks for five times its mean for so long, the others for a twentieth.").
 		Default("0s").DurationVar(&o.load.Turn)
+	load.Flag("pool-slots", "Slots of each pool, to report how much of them a burst used.").Default("0").IntVar(&o.load.Slots)
 	load.Flag("work", "Time of each request on its worker.").Default("20ms").DurationVar(&o.load.Work)
 	load.Flag("timeout", "Time limit that callers state.").Default("10s").DurationVar(&o.load.Timeout)
 	load.Flag("writes", "Share of POST requests.").Default("0").Float64Var(&o.load.Writes)
--- a/internal/fulmarbench/result.go
+++ b/internal/fulmarbench/result.go
@@ -39,7 +39,9 @@
 	dropped int64
 	all     *hdrhistogram.Histogram
 	urgent  *hdrhistogram.Histogram
-	elapsed time.Duration
+	// atHeight counts the answers that came while their pool's burst was at its height.
+	atHeight int64
+	elapsed  time.Duration
 }
 
 func newResult(load Load) *Result {
@@ -58,6 +60,9 @@
 		return
 	}
 	_ = r.all.RecordValue(e.latency.Microseconds())
+	if r.load.isWithinBurst(s.place, s.at+e.latency) {
+		r.atHeight++
+	}
 	if s.urgency == fulmarapi.Urgent {
 		_ = r.urgent.RecordValue(e.latency.Microseconds())
 	}
@@ -112,6 +117,15 @@
 	return time.Duration(r.urgent.ValueAtQuantile(percentile)) * time.Microsecond
 }
 
+// BurstShare returns the slot time of the answers at the height of the bursts
+// as a share of all slot time of the bursting pools.
+func (r *Result) BurstShare() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	used := float64(r.atHeight) * r.load.Work.Seconds()
+	return used / (float64(r.load.Slots) * r.load.burstHeight().Seconds())
+}
+
 // Print writes the result for people.
 func (r *Result) Print(out io.Writer) {
 	fmt.Fprintf(out, "requests %d in %.1f s, %.1f answers/s, not sent for want of places %d\n",
@@ -119,6 +133,9 @@
 	for _, kind := range r.kinds() {
 		fmt.Fprintf(out, "  %-9s %-22s %d\n", kind.outcome, kind.reason, r.counts[kind])
 	}
+	if r.load.Turn > 0 && r.load.Slots > 0 {
+		fmt.Fprintf(out, "  slot time used at the height of bursts %.1f%%\n", 100*r.BurstShare())
+	}
 	for _, p := range []float64{50, 90, 99, 99.9} {
 		fmt.Fprintf(out, "  latency p%-5v %8.2f ms   urgent %8.2f ms\n", p, millis(r.Percentile(p)), millis(r.UrgentPercentile(p)))
 	}
--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -148,7 +148,7 @@
 func (d *Daemon) Loads() map[string]int { return d.pools.Loads() }
 
 // LearnLoads takes in the other members' demands.
-func (d *Daemon) LearnLoads(demands map[string][]int) { d.pools.SetPeers(demands) }
+func (d *Daemon) LearnLoads(demands map[string][]fulmardispatch.Demand) { d.pools.SetPeers(demands) }
 
 // Stopping tells whether the member is on its way out.
 func (d *Daemon) Stopping() bool { return !d.entry.IsReady() }
--- a/internal/fulmardispatch/decision_test.go
+++ b/internal/fulmardispatch/decision_test.go
@@ -15,14 +15,16 @@
 	cases := []struct {
 		name          string
 		capacity, own int
-		others        []int
+		others        []fulmardispatch.Demand
 		want          int
 	}{
 		{"alone", 80, 500, nil, 80},
-		{"enough for all", 80, 10, []int{20, 30}, 80},
-		{"equal demands", 80, 100, []int{100, 100, 100}, 20},
-		{"small demands leave the rest", 80, 100, []int{10, 10}, 60},
-		{"own demand is small", 80, 5, []int{100, 100}, 27},
+		{"enough for all", 80, 10, others(20, 30), 80},
+		{"equal demands", 80, 100, others(100, 100, 100), 20},
+		{"small demands leave the rest", 80, 100, others(10, 10), 60},
+		{"own demand is small", 80, 5, others(100, 100), 27},
+		{"first by name takes what does not divide", 10, 100, []fulmardispatch.Demand{{Requests: 100}, {Requests: 100}}, 4},
+		{"last by name does not", 10, 100, []fulmardispatch.Demand{{Requests: 100, Before: true}, {Requests: 100, Before: true}}, 3},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -31,24 +33,34 @@
 	}
 }
 
+func others(requests ...int) []fulmardispatch.Demand {
+	var demands []fulmardispatch.Demand
+	for _, n := range requests {
+		demands = append(demands, fulmardispatch.Demand{Requests: n})
+	}
+	return demands
+}
+
 // TestFairSharesUseEverySlot checks that the members together use the whole
-// capacity when they ask for it, and exceed it by less than a slot each.
+// capacity when they ask for it, and no slot twice.
 func TestFairSharesUseEverySlot(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		capacity := rapid.IntRange(1, 200).Draw(r, "capacity")
 		demands := rapid.SliceOfN(rapid.IntRange(0, 300), 1, 8).Draw(r, "demands")
 		total, used := 0, 0
 		for i, own := range demands {
-			others := append(append([]int(nil), demands[:i]...), demands[i+1:]...)
+			var others []fulmardispatch.Demand
+			for j, requests := range demands {
+				if j != i {
+					others = append(others, fulmardispatch.Demand{Requests: requests, Before: j < i})
+				}
+			}
 			used += min(own, fulmardispatch.FairShare(capacity, own, others))
 			total += own
 		}
-		if used < min(total, capacity) {
+		if used != min(total, capacity) {
 			r.Fatalf("%d of %d slots are used for a demand of %d", used, capacity, total)
 		}
-		if used > capacity+len(demands) {
-			r.Fatalf("%d of %d slots are used", used, capacity)
-		}
 	})
 }
 
--- a/internal/fulmardispatch/event.go
+++ b/internal/fulmardispatch/event.go
@@ -102,7 +102,7 @@
 
 func (e settingsEvent) apply(s *Scheduler) { s.follow(*e.settings) }
 
-type peersEvent struct{ demands *[]int }
+type peersEvent struct{ demands *[]Demand }
 
 func (e peersEvent) apply(s *Scheduler) { s.peers = *e.demands }
 
--- a/internal/fulmardispatch/pools.go
+++ b/internal/fulmardispatch/pools.go
@@ -82,7 +82,7 @@
 }
 
 // SetPeers tells each pool the demands of the other members.
-func (p *Pools) SetPeers(demands map[string][]int) {
+func (p *Pools) SetPeers(demands map[string][]Demand) {
 	for name, s := range *p.current.Load() {
 		s.SetPeers(demands[name])
 	}
--- a/internal/fulmardispatch/scheduler.go
+++ b/internal/fulmardispatch/scheduler.go
@@ -73,7 +73,7 @@
 	settings Settings
 	workers  []*worker
 	byVM     map[string]*worker
-	peers    []int
+	peers    []Demand
 	running  int
 	latency  Latency
 	stopped  *fulmarapi.Refusal
@@ -173,8 +173,8 @@
 // SetSettings replaces the settings.
 func (s *Scheduler) SetSettings(settings Settings) { s.ring.Put(settingsEvent{&settings}) }
 
-// SetPeers replaces the demands of the other members, in requests running and waiting.
-func (s *Scheduler) SetPeers(demands []int) { s.ring.Put(peersEvent{&demands}) }
+// SetPeers replaces the demands of the other members.
+func (s *Scheduler) SetPeers(demands []Demand) { s.ring.Put(peersEvent{&demands}) }
 
 // Retries returns the pool's retry budget.
 func (s *Scheduler) Retries() *RetryBudget { return s.retries }
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
 )
@@ -32,7 +33,7 @@
 	// Loads returns the demand of each pool with any, in requests running and waiting.
 	Loads() map[string]int
 	// LearnLoads takes in the demands of the other members by pool.
-	LearnLoads(demands map[string][]int)
+	LearnLoads(demands map[string][]fulmardispatch.Demand)
 	// Stopping tells whether this member is on its way out.
 	Stopping() bool
 }
@@ -149,11 +150,11 @@
 }
 
 // demands returns the fresh demands of the other members by pool.
-func (e *Exchange) demands() map[string][]int {
+func (e *Exchange) demands() map[string][]fulmardispatch.Demand {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock.Now()
-	demands := map[string][]int{}
+	demands := map[string][]fulmardispatch.Demand{}
 	for name, seen := range e.digests {
 		if now-seen.at > digestStale {
 			continue
@@ -162,7 +163,8 @@
 			continue
 		}
 		for _, load := range seen.digest.GetPools() {
-			demands[load.GetPool()] = append(demands[load.GetPool()], int(load.GetDemand()))
+			demand := fulmardispatch.Demand{Requests: int(load.GetDemand()), Before: name < e.self.Name}
+			demands[load.GetPool()] = append(demands[load.GetPool()], demand)
 		}
 	}
 	return demands
