Under contention a member reuses its own freed slots first

Cause: when an answer came back, the freed slot was known to be free, but the least loaded worker was chosen, often another one that was full. While workers refuse as busy, workers with a slot that this member has just given up go first.

--- a/internal/fulmardispatch/scheduler.go
+++ b/internal/fulmardispatch/scheduler.go
@@ -29,6 +29,8 @@
 const (
 	// wakeEvery is how often a scheduler with waiting requests looks for workers whose backoff has ended.
 	wakeEvery = 2 * fulmarclock.Millis(1)
+	// contendedFor is how long a busy worker makes its pool count as contended.
+	contendedFor = fulmarclock.Second
 	// heldMost bounds the waiting requests passed over in one round because no worker suits them.
 	heldMost = 8
 	// retryAfterSeconds is the advice sent with a full queue.
@@ -77,8 +79,10 @@
 	running  int
 	latency  Latency
 	stopped  *fulmarapi.Refusal
-	woken    bool
-	wake     chan struct{}
+	// contended is the time until which slots of this member's own answers are used first.
+	contended fulmarclock.Millis
+	woken     bool
+	wake      chan struct{}
 
 	candidates []Candidate
 	places     []*worker
@@ -243,17 +247,26 @@
 	if w := s.dueProbe(t, now); w != nil {
 		return w, false
 	}
-	if s.listFree(t, now, Healthy) || s.listFree(t, now, Suspect) {
+	if now < s.contended && s.listFree(t, now, isFreed) {
+		return s.places[s.policy.Choose(s.candidates, s.random.IntN)], false
+	}
+	if s.listFree(t, now, isHealthy) || s.listFree(t, now, isSuspect) {
 		return s.places[s.policy.Choose(s.candidates, s.random.IntN)], false
 	}
 	return nil, t.avoid == ""
 }
 
-// listFree lists the free workers of a verdict that suit a ticket and tells whether there are any.
-func (s *Scheduler) listFree(t *Ticket, now fulmarclock.Millis, verdict Verdict) bool {
+func isHealthy(w *worker) bool { return w.health.Verdict() == Healthy }
+func isSuspect(w *worker) bool { return w.health.Verdict() == Suspect }
+
+// isFreed tells whether a worker has a slot that this member has just given up.
+func isFreed(w *worker) bool { return isHealthy(w) && w.freed > 0 }
+
+// listFree lists the free workers of a kind that suit a ticket and tells whether there are any.
+func (s *Scheduler) listFree(t *Ticket, now fulmarclock.Millis, kind func(w *worker) bool) bool {
 	s.candidates, s.places = s.candidates[:0], s.places[:0]
 	for _, w := range s.workers {
-		if w.health.Verdict() != verdict || !w.isFree(now) || w.assigned.Target.VM == t.avoid {
+		if !kind(w) || !w.isFree(now) || w.assigned.Target.VM == t.avoid {
 			continue
 		}
 		s.candidates = append(s.candidates, Candidate{Running: w.running, Slots: w.assigned.Slots})
@@ -287,6 +300,7 @@
 
 func (s *Scheduler) grant(t *Ticket, w *worker) {
 	w.running++
+	w.freed = max(0, w.freed-1)
 	s.running++
 	t.worker = w
 	t.granted = s.clock.Now()
@@ -303,6 +317,9 @@
 	if t.result == ResultAnswered || t.result == ResultFailed {
 		s.latency.Add(now - t.granted)
 	}
+	if t.result == ResultBusy {
+		s.contended = now + contendedFor
+	}
 	t.worker.record(t, now, s.random.IntN)
 	t.worker = nil
 	s.running--
--- a/internal/fulmardispatch/worker.go
+++ b/internal/fulmardispatch/worker.go
@@ -28,6 +28,8 @@
 	busyUntil fulmarclock.Millis
 	busyWait  fulmarclock.Millis
 	probing   bool
+	// freed counts this member's answers from the worker whose slots it has not used again.
+	freed int
 }
 
 func newWorker(assigned Assigned) *worker { return &worker{assigned: assigned} }
@@ -69,6 +71,7 @@
 	failed := t.result != ResultAnswered
 	if !failed {
 		w.busyUntil, w.busyWait = 0, 0
+		w.freed = min(w.freed+1, w.assigned.Slots)
 	}
 	if t.probe {
 		w.health.ProbeEnded(now, failed)
@@ -83,6 +86,7 @@
 	} else {
 		w.busyWait = min(2*w.busyWait, busyMost)
 	}
+	w.freed = 0
 	half := int(w.busyWait / 2)
 	w.busyUntil = now + w.busyWait/2 + fulmarclock.Millis(random(half+1))
 }
