--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -119,7 +119,7 @@
 	})
 	d.pools = fulmardispatch.NewPools(fulmardispatch.PoolsOptions{
 		Clock: d.clock, Ring: limits.RingEvents, Seed: uint64(d.clock.Unix()),
-		NewPolicy: func() fulmardispatch.Policy { return fulmardispatch.LeastLoaded{} },
+		NewPolicy: d.newPolicy, Sharing: d.settings.Sharing,
 	})
 	d.entry = fulmarentry.New(fulmarentry.Options{
 		Clock: d.clock, Schedulers: d.pools, Configuration: d, Sender: d.transport, Claimer: d.claimer,
@@ -141,6 +141,14 @@
 	fulmarpeerpb.RegisterPeersServer(d.grpc, d.exchange)
 }
 
+// newPolicy returns the policy of the settings, which were checked.
+func (d *Daemon) newPolicy() fulmardispatch.Policy {
+	if policy, known := fulmardispatch.PolicyByName(d.settings.Policy); known {
+		return policy
+	}
+	return fulmardispatch.LeastLoaded{}
+}
+
 // Record returns the configuration in force.
 func (d *Daemon) Record() fulmarconfig.Record { return d.fleet.View().Record() }
 
--- a/internal/fulmardaemon/plan.go
+++ b/internal/fulmardaemon/plan.go
@@ -31,6 +31,7 @@
 			View: fulmardispatch.View{
 				Workers:     workers[name],
 				Connections: max(1, workerConnections/(members+sparedMembers)),
+				Members:     members,
 			},
 		}
 	}
--- a/internal/fulmardispatch/event.go
+++ b/internal/fulmardispatch/event.go
@@ -83,6 +83,7 @@
 type viewEvent struct{ view *View }
 
 func (e viewEvent) apply(s *Scheduler) {
+	s.members = e.view.Members
 	s.workers = s.workers[:0]
 	byVM := make(map[string]*worker, len(e.view.Workers))
 	for _, assigned := range e.view.Workers {
--- a/internal/fulmardispatch/policy.go
+++ b/internal/fulmardispatch/policy.go
@@ -1,5 +1,10 @@
 package fulmardispatch
 
+import "github.com/fulmardrum/fulmardrum/internal/fulmarsettings"
+
+// normalizedDelta is the normalized load difference below which two workers count as equally loaded.
+const normalizedDelta = 1
+
 // Candidate is a worker with a free slot, as a policy sees it.
 type Candidate struct {
 	// Running is the number of this member's requests on the worker.
@@ -87,17 +92,17 @@
 	return (loadA - loadB) / float64(a.Slots+b.Slots)
 }
 
-// PolicyByName returns the policy of a name in settings and experiments.
+// PolicyByName returns the policy of a name in the settings.
 func PolicyByName(name string) (Policy, bool) {
 	switch name {
-	case "round-robin":
+	case fulmarsettings.PolicyRoundRobin:
 		return &RoundRobin{}, true
-	case "least-loaded":
+	case fulmarsettings.PolicyLeastLoaded:
 		return LeastLoaded{}, true
-	case "two-choices":
+	case fulmarsettings.PolicyTwoChoices:
 		return TwoChoices{}, true
-	case "normalized-difference":
-		return NormalizedDifference{Delta: 1}, true
+	case fulmarsettings.PolicyNormalizedDifference:
+		return NormalizedDifference{Delta: normalizedDelta}, true
 	}
 	return nil, false
 }
--- a/internal/fulmardispatch/pools.go
+++ b/internal/fulmardispatch/pools.go
@@ -20,6 +20,7 @@
 	Clock fulmarclock.Clock
 	// NewPolicy makes the policy of one pool.
 	NewPolicy func() Policy
+	Sharing   string
 	Ring      int
 	Seed      uint64
 }
@@ -64,7 +65,7 @@
 		s, known := previous[name]
 		if !known {
 			s = NewScheduler(name, Options{
-				Clock: p.options.Clock, Policy: p.options.NewPolicy(), Ring: p.options.Ring,
+				Clock: p.options.Clock, Policy: p.options.NewPolicy(), Sharing: p.options.Sharing, Ring: p.options.Ring,
 				Seed: p.options.Seed, Settings: plan.Settings,
 			})
 			go s.Run()
--- a/internal/fulmardispatch/scheduler.go
+++ b/internal/fulmardispatch/scheduler.go
@@ -23,6 +23,7 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarqueue"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarring"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsettings"
 	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
 )
 
@@ -50,12 +51,16 @@
 	Workers []Assigned
 	// Connections bounds this member's connections to each worker.
 	Connections int
+	// Members is the number of live members.
+	Members int
 }
 
 // Options describe a scheduler.
 type Options struct {
-	Clock    fulmarclock.Clock
-	Policy   Policy
+	Clock  fulmarclock.Clock
+	Policy Policy
+	// Sharing is one of the names in fulmarsettings.
+	Sharing  string
 	Ring     int
 	Seed     uint64
 	Settings Settings
@@ -66,6 +71,7 @@
 	pool    string
 	clock   fulmarclock.Clock
 	policy  Policy
+	sharing string
 	random  *rand.Rand
 	ring    *fulmarring.Ring[event]
 	done    chan struct{}
@@ -76,6 +82,7 @@
 	workers  []*worker
 	byVM     map[string]*worker
 	peers    []Demand
+	members  int
 	running  int
 	latency  Latency
 	stopped  *fulmarapi.Refusal
@@ -99,7 +106,7 @@
 // NewScheduler returns a scheduler without workers.
 func NewScheduler(pool string, options Options) *Scheduler {
 	s := &Scheduler{
-		pool: pool, clock: options.Clock, policy: options.Policy,
+		pool: pool, clock: options.Clock, policy: options.Policy, sharing: options.Sharing,
 		random: rand.New(rand.NewPCG(options.Seed, uint64(len(pool)))),
 		ring:   fulmarring.New[event](options.Ring), done: make(chan struct{}),
 		retries: NewRetryBudget(options.Settings.RetryShare),
@@ -353,6 +360,12 @@
 
 // allowed returns how many slots this member may use beside its peers.
 func (s *Scheduler) allowed() int {
+	switch s.sharing {
+	case fulmarsettings.SharingOptimistic:
+		return s.capacity()
+	case fulmarsettings.SharingStatic:
+		return max(1, s.capacity()/max(1, s.members))
+	}
 	return FairShare(s.capacity(), s.running+s.queue.Len(), s.peers)
 }
 
--- a/internal/fulmarsettings/daemon.go
+++ b/internal/fulmarsettings/daemon.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/url"
+	"slices"
+	"strings"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
@@ -25,10 +27,29 @@
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 
+	// Policy chooses among workers with free slots; Sharing bounds a member's part of a pool.
+	Policy  string `json:"policy"`
+	Sharing string `json:"sharing"`
+
 	Limits Limits `json:"limits"`
 	Times  Times  `json:"times"`
 }
 
+// Names of the policies and of the ways of sharing slots among members.
+const (
+	PolicyRoundRobin           = "round-robin"
+	PolicyLeastLoaded          = "least-loaded"
+	PolicyTwoChoices           = "two-choices"
+	PolicyNormalizedDifference = "normalized-difference"
+
+	// SharingDigests bounds each member to its fair share by the peers' digests.
+	SharingDigests = "digests"
+	// SharingOptimistic lets every member try every slot.
+	SharingOptimistic = "optimistic"
+	// SharingStatic gives each live member an equal part whatever the demand.
+	SharingStatic = "static"
+)
+
 // Limits bound what callers can make the daemon hold.
 type Limits struct {
 	HeaderBytes      int   `json:"header_bytes"`
@@ -66,6 +87,7 @@
 		Member: "member-1", Region: "region-1", DataCentre: "dc-1",
 		Callers: "127.0.0.1:7001", Operators: "127.0.0.1:7002", Peers: "127.0.0.1:7003",
 		Platform: "http://127.0.0.1:7000", LogLevel: "info",
+		Policy: PolicyLeastLoaded, Sharing: SharingDigests,
 		Limits: Limits{
 			HeaderBytes: 32 << 10, BodyBytes: 64 << 20, BufferedBody: 64 << 10, BufferedTotal: 24 << 20,
 			CallerRequests: 8192, RingEvents: 4096, ClaimsPerBucket: 8000, ClaimBuckets: 16, WorkerConnection: 64,
@@ -111,6 +133,14 @@
 	if platform, err := url.Parse(d.Platform); err != nil || platform.Host == "" {
 		return refuse("platform", "must be a URL such as http://10.0.0.9:7000")
 	}
+	policies := []string{PolicyRoundRobin, PolicyLeastLoaded, PolicyTwoChoices, PolicyNormalizedDifference}
+	if !slices.Contains(policies, d.Policy) {
+		return refuse("policy", "must be one of "+strings.Join(policies, ", "))
+	}
+	sharings := []string{SharingDigests, SharingOptimistic, SharingStatic}
+	if !slices.Contains(sharings, d.Sharing) {
+		return refuse("sharing", "must be one of "+strings.Join(sharings, ", "))
+	}
 	for _, size := range d.Limits.fields() {
 		if size.value <= 0 {
 			return refuse(size.name, "must be above zero")
