Claims are one small value each, in place of shared buckets

Cause: claims of 16 buckets were gathered and written together, but with 7 members each one's last seen revision of a bucket is old 6 times out of 7, so most writes conflicted first; and each write carried the whole bucket, which grows with all claims of 10 minutes. Now a claim is one value made by compare-and-swap under a lease that covers a period's claims and is not renewed.

Weighed: one owner of each bucket by hashing, with claims forwarded and appended as small segments (fewest writes; needs forwarding, catch-up and fallback; to be built when keyed requests pass some 250 a second in the fleet); tickets bound to one member's incarnation (no write a claim, but a repeat through another member after a restart cannot be told from a first request).

Before, a claim alone waited 20 ms for its batch.

A claim under a lease that has ended is now its own error in the adapter: the stand-in answered it as a conflict without one, which would be repeated for ever.

--- a/internal/fulmarclaim/claimer.go
+++ b/internal/fulmarclaim/claimer.go
@@ -1,3 +1,17 @@
+// Package fulmarclaim makes a request with an idempotency key run at most once
+// over all its repeats, through whichever members they come.
+//
+// Usage:
+//
+//	claimer := fulmarclaim.NewClaimer(store, clock, options)
+//	claim, verdict := claimer.Claim(ctx, fulmarclaim.NewKey(pool, team, key))
+//	if verdict == fulmarclaim.Granted && claim.MayDispatch() { ... }
+//	released := claimer.Release(ctx, claim)
+//
+// Each key is one small value of the platform's key-value service, made by
+// compare-and-swap under a lease: one write a claim and no read unless the key
+// was taken before. A lease covers all claims of a period and is never renewed,
+// so that claims are forgotten without a call for each.
 package fulmarclaim
 
 import (
@@ -8,49 +22,47 @@
 	"sync"
 
 	"github.com/google/uuid"
+	"golang.org/x/time/rate"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
-	"github.com/fulmardrum/fulmardrum/internal/fulmarring"
 )
 
 const (
+	keyPrefix   = "claims/"
 	digestBytes = 16
-	ringSize    = 2048
-	batchMost   = 512
-	// conflictsMost bounds the rounds of one batch against other members' writes.
-	conflictsMost = 50
-	// settleTime bounds the rounds of one batch, in milliseconds.
+	// waitingMost bounds the claims and releases under way on a member.
+	waitingMost = 512
+	// periodsKept is how many lease periods a claim is kept.
+	periodsKept = 4
+	// settleTime bounds one claim or release, in milliseconds.
 	settleTime = 5 * fulmarclock.Second
+	// attemptsMost bounds the rounds of one claim against other writes of its key.
+	attemptsMost = 8
 )
 
-// Verdict is what became of a claim or a release.
+// Verdict is what became of a claim.
 type Verdict int
 
 // Verdicts.
 const (
-	// Unavailable: the service gave no settled answer.
+	// Unavailable: the service gave no settled answer in time.
 	Unavailable Verdict = iota
 	// Granted: the claim is this attempt's own.
 	Granted
 	// Duplicate: another attempt holds the key; it may have run.
 	Duplicate
-	// Full: the bucket takes no more claims until old ones are forgotten.
+	// Full: too many claims are under way on this member.
 	Full
-	// Released: the key is free again.
-	Released
 )
 
-var verdictNames = [...]string{"unavailable", "granted", "duplicate", "full", "released"}
+var verdictNames = [...]string{"unavailable", "granted", "duplicate", "full"}
 
 // String returns the verdict's name in counters.
 func (v Verdict) String() string { return verdictNames[v] }
 
 // Key is the digest of an idempotency key with its pool and team.
-type Key struct {
-	text  string
-	place uint16
-}
+type Key string
 
 // NewKey returns the digest of a key; the same key of another pool or team is another key.
 func NewKey(pool, team, key string) Key {
@@ -59,255 +71,193 @@
 		hash.Write([]byte{byte(len(part) >> 8), byte(len(part))})
 		hash.Write([]byte(part))
 	}
-	sum := hash.Sum(nil)
-	return Key{
-		text:  base64.RawURLEncoding.EncodeToString(sum[:digestBytes]),
-		place: uint16(sum[digestBytes])<<8 | uint16(sum[digestBytes+1]),
-	}
+	return Key(base64.RawURLEncoding.EncodeToString(hash.Sum(nil)[:digestBytes]))
+}
+
+// Store is the part of the key-value service that claims need.
+type Store interface {
+	fulmarplatform.Store
+	Grant(ctx context.Context, ttl fulmarclock.Millis) (fulmarplatform.LeaseID, error)
 }
 
 // Options bound a claimer.
 type Options struct {
-	Buckets   int
-	PerBucket int
-	// Kept is how long a claim is remembered.
+	// Kept is the least time for which a claim is remembered.
 	Kept fulmarclock.Millis
-	// Batch is how long claims are gathered before a write.
-	Batch fulmarclock.Millis
+	// PerSecond bounds this member's claims and releases, so that leases and configuration find room.
+	PerSecond int
 }
 
 // Claim is a key held by one attempt.
 type Claim struct {
-	key     Key
-	id      string
-	clock   fulmarclock.Clock
-	expires fulmarclock.Millis
+	key      Key
+	id       string
+	revision fulmarplatform.Revision
+	clock    fulmarclock.Clock
+	expires  fulmarclock.Millis
 }
 
 // MayDispatch tells whether the claim is young enough that no repeat can have
 // been granted: a member that was paused for long must not use it.
 func (c *Claim) MayDispatch() bool { return c.clock.Now() < c.expires }
 
-// operation is one claim or release on its way through a bucket.
-type operation struct {
-	key     string
-	record  record
-	release bool
-	verdict Verdict
-	done    chan Verdict
-}
-
-// Claimer claims keys for one member. It has a goroutine for each bucket.
+// Claimer claims keys for one member.
 type Claimer struct {
-	store   fulmarplatform.Store
+	store   Store
 	clock   fulmarclock.Clock
 	options Options
-	rings   []*fulmarring.Ring[*operation]
+	limiter *rate.Limiter
+	places  chan struct{}
 	// running ends with Close.
 	running context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
+
+	mu    sync.Mutex
+	lease fulmarplatform.LeaseID
+	// renewAt is when the next period begins.
+	renewAt fulmarclock.Millis
 }
 
-// NewClaimer returns a claimer at work.
-func NewClaimer(store fulmarplatform.Store, clock fulmarclock.Clock, options Options) *Claimer {
+// NewClaimer returns a claimer.
+func NewClaimer(store Store, clock fulmarclock.Clock, options Options) *Claimer {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Claimer{store: store, clock: clock, options: options, running: ctx, cancel: cancel}
-	for place := range options.Buckets {
-		ring := fulmarring.New[*operation](ringSize)
-		c.rings = append(c.rings, ring)
-		w := &writer{claimer: c, place: place, ring: ring}
-		c.tasks.Add(1)
-		go func() {
-			defer c.tasks.Done()
-			w.run(ctx)
-		}()
+	return &Claimer{
+		store: store, clock: clock, options: options, running: ctx, cancel: cancel,
+		limiter: rate.NewLimiter(rate.Limit(options.PerSecond), options.PerSecond),
+		places:  make(chan struct{}, waitingMost),
 	}
-	return c
 }
 
-// Close gives up what waits and waits for the goroutines.
+// Close gives up what is under way and waits for it.
 func (c *Claimer) Close() {
 	c.cancel()
 	c.tasks.Wait()
 }
 
-// Claim tries to take a key for one attempt.
+// Claim tries to take a key for one attempt. When ctx ends first, the claim is
+// settled and released in the background.
 func (c *Claimer) Claim(ctx context.Context, key Key) (*Claim, Verdict) {
-	start := c.clock.Now()
-	claim := &Claim{key: key, id: uuid.NewString(), clock: c.clock, expires: start + c.options.Kept/2}
-	o := &operation{
-		key:    key.text,
-		record: record{ID: claim.id, Until: c.clock.Unix() + int64(c.options.Kept)},
-		done:   make(chan Verdict, 1),
-	}
-	verdict := c.submit(ctx, key, o)
-	if verdict == Unavailable {
-		c.releaseLate(claim, o)
+	select {
+	case c.places <- struct{}{}:
+	default:
+		return nil, Full
 	}
-	return claim, verdict
-}
-
-// releaseLate frees a key that is granted after its caller has stopped waiting.
-func (c *Claimer) releaseLate(claim *Claim, o *operation) {
+	claim := &Claim{key: key, id: uuid.NewString(), clock: c.clock, expires: c.clock.Now() + c.options.Kept/2}
+	verdicts := make(chan Verdict)
 	c.tasks.Add(1)
 	go func() {
 		defer c.tasks.Done()
+		defer func() { <-c.places }()
+		verdict := c.take(claim)
 		select {
-		case verdict := <-o.done:
-			if verdict == Granted {
-				c.Release(c.running, claim)
-			}
-		case <-c.running.Done():
+		case verdicts <- verdict:
+		case <-ctx.Done():
+			c.abandon(claim, verdict)
 		}
 	}()
-}
-
-// Release frees the key of a claim that was not used, and reports whether that is settled.
-func (c *Claimer) Release(ctx context.Context, claim *Claim) bool {
-	o := &operation{key: claim.key.text, record: record{ID: claim.id}, release: true, done: make(chan Verdict, 1)}
-	return c.submit(ctx, claim.key, o) == Released
-}
-
-func (c *Claimer) submit(ctx context.Context, key Key, o *operation) Verdict {
-	ring := c.rings[int(key.place)%len(c.rings)]
-	if !ring.Offer(o) {
-		o.done <- Unavailable
-	}
 	select {
-	case verdict := <-o.done:
-		return verdict
+	case verdict := <-verdicts:
+		return claim, verdict
 	case <-ctx.Done():
-		return Unavailable
+		return claim, Unavailable
 	}
 }
 
-// writer carries out the operations of one bucket.
-type writer struct {
-	claimer *Claimer
-	place   int
-	ring    *fulmarring.Ring[*operation]
-	// entry is the bucket as last seen; its value may be old.
-	entry fulmarplatform.Entry
-}
-
-func (w *writer) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			w.ring.Close()
-			w.abandon()
-			return
-		case first := <-w.ring.Events():
-			batch := w.gather(ctx, first)
-			w.commit(ctx, batch)
-			for _, o := range batch {
-				o.done <- o.verdict
-			}
-		}
+// Release frees the key of a claim that was not used, and reports whether that is settled.
+func (c *Claimer) Release(ctx context.Context, claim *Claim) bool {
+	if c.limiter.Wait(ctx) != nil {
+		return false
 	}
+	lease, err := c.periodLease(ctx)
+	if err != nil {
+		return false
+	}
+	_, err = fulmarplatform.SwapSettled(ctx, c.clock, c.store, fulmarplatform.Swap{
+		Key: keyPrefix + string(claim.key), Expected: claim.revision, Lease: lease,
+		Included: func(stored []byte) bool { return string(stored) != claim.id },
+	})
+	return err == nil
 }
 
-func (w *writer) abandon() {
-	for {
-		select {
-		case o := <-w.ring.Events():
-			o.done <- Unavailable
-		default:
-			return
-		}
+func (c *Claimer) abandon(claim *Claim, verdict Verdict) {
+	if verdict != Granted {
+		return
 	}
+	ctx, cancel := c.bounded()
+	defer cancel()
+	c.Release(ctx, claim)
 }
 
-// gather waits for the batch time and returns what has come by then.
-func (w *writer) gather(ctx context.Context, first *operation) []*operation {
-	batch := []*operation{first}
-	wait := w.claimer.clock.After(w.claimer.options.Batch)
-	for len(batch) < batchMost {
-		select {
-		case o := <-w.ring.Events():
-			batch = append(batch, o)
-		case <-wait:
-			return batch
-		case <-ctx.Done():
-			return batch
-		}
-	}
-	return batch
+// bounded returns a context that ends with the settle time or with Close.
+func (c *Claimer) bounded() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(c.running, settleTime.Duration())
 }
 
-// commit writes a batch and sets its verdicts.
-func (w *writer) commit(ctx context.Context, batch []*operation) {
-	ctx, cancel := context.WithCancel(ctx)
+// take writes a claim and settles what became of it.
+func (c *Claimer) take(claim *Claim) Verdict {
+	ctx, cancel := c.bounded()
 	defer cancel()
-	timer := w.claimer.clock.AfterFunc(settleTime, cancel)
-	defer timer.Stop()
-	for range conflictsMost {
-		settled, err := w.round(ctx, batch)
-		if settled {
-			return
+	if c.limiter.Wait(ctx) != nil {
+		return Unavailable
+	}
+	expected := fulmarplatform.Revision(0)
+	for range attemptsMost {
+		entry, err := c.write(ctx, claim, expected)
+		if err == nil {
+			claim.revision = entry.Revision
+			return Granted
 		}
 		var conflict *fulmarplatform.ConflictError
 		if !errors.As(err, &conflict) {
-			break
+			return Unavailable
 		}
+		if len(entry.Value) > 0 {
+			return Duplicate
+		}
+		expected = entry.Revision // released, or forgotten
 	}
-	w.entry = fulmarplatform.Entry{}
-	for _, o := range batch {
-		o.verdict = Unavailable
-	}
+	return Unavailable
 }
 
-// round decides a batch on the bucket as last seen and writes the result. A
-// batch that changes nothing is decided on a fresh read, as the last seen may be old.
-func (w *writer) round(ctx context.Context, batch []*operation) (settled bool, err error) {
-	key := bucketKey(w.place)
-	decided, changed, err := w.decide(batch)
-	if err != nil {
-		return false, err
-	}
-	if !changed {
-		return w.confirm(ctx, key, batch)
-	}
-	value, err := decided.encode()
+func (c *Claimer) write(ctx context.Context, claim *Claim, expected fulmarplatform.Revision) (fulmarplatform.Entry, error) {
+	lease, err := c.periodLease(ctx)
 	if err != nil {
-		return false, err
+		return fulmarplatform.Entry{}, err
 	}
-	entry, err := fulmarplatform.SwapSettled(ctx, w.claimer.clock, w.claimer.store, fulmarplatform.Swap{
-		Key: key, Expected: w.entry.Revision, Value: value,
-		Included: func(stored []byte) bool {
-			b, err := decodeBucket(stored)
-			return err == nil && b.holds(batch)
-		},
+	entry, err := fulmarplatform.SwapSettled(ctx, c.clock, c.store, fulmarplatform.Swap{
+		Key: keyPrefix + string(claim.key), Expected: expected, Value: []byte(claim.id), Lease: lease,
+		Included: func(stored []byte) bool { return string(stored) == claim.id },
 	})
-	if err == nil || entry.Revision != 0 {
-		w.entry = entry
+	var lost *fulmarplatform.LeaseLostError
+	if errors.As(err, &lost) {
+		c.forgetLease(lease)
 	}
-	return err == nil, err
+	return entry, err
 }
 
-func (w *writer) decide(batch []*operation) (b bucket, changed bool, err error) {
-	b, err = decodeBucket(w.entry.Value)
+// periodLease returns the lease of this period; each lasts for the time that
+// claims are kept and one period more.
+func (c *Claimer) periodLease(ctx context.Context) (fulmarplatform.LeaseID, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if c.lease != "" && now < c.renewAt {
+		return c.lease, nil
+	}
+	period := c.options.Kept / periodsKept
+	lease, err := c.store.Grant(ctx, c.options.Kept+period)
 	if err != nil {
-		return bucket{}, false, err
+		return "", err
 	}
-	b.prune(w.claimer.clock.Unix())
-	changed = b.apply(batch, w.claimer.options.PerBucket)
-	return b, changed, nil
+	c.lease, c.renewAt = lease, now+period
+	return lease, nil
 }
 
-func (w *writer) confirm(ctx context.Context, key string, batch []*operation) (settled bool, err error) {
-	entry, err := w.claimer.store.Get(ctx, key)
-	if err != nil {
-		return false, err
-	}
-	w.entry = entry
-	_, changed, err := w.decide(batch)
-	if err != nil {
-		return false, err
-	}
-	if changed {
-		return false, &fulmarplatform.ConflictError{Key: key, Current: entry.Revision}
+func (c *Claimer) forgetLease(lease fulmarplatform.LeaseID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lease == lease {
+		c.lease = ""
 	}
-	return true, nil
 }
--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -112,7 +112,7 @@
 	d.membership = fulmarmember.NewMembership(d.platform, d.clock, d.self, times.Lease, d.logger, d.metrics)
 	d.exchange = fulmarmember.NewExchange(d.self, d.fleet, d.clock, d, d.metrics, d.logger, times.Digest)
 	d.claimer = fulmarclaim.NewClaimer(d.platform, d.clock, fulmarclaim.Options{
-		Buckets: limits.ClaimBuckets, PerBucket: limits.ClaimsPerBucket, Kept: times.ClaimKept, Batch: times.ClaimBatch,
+		Kept: times.ClaimKept, PerSecond: limits.ClaimsPerSecond,
 	})
 	d.transport = fulmardispatch.NewTransport(fulmardispatch.TransportOptions{
 		Clock: d.clock, Connect: times.ConnectWorker, Acknowledge: times.Acknowledge, FreshIdle: times.FreshIdle,
--- a/internal/fulmarentry/passage.go
+++ b/internal/fulmarentry/passage.go
@@ -59,7 +59,7 @@
 	case fulmarclaim.Duplicate:
 		return fulmarapi.NewUnknown(fulmarapi.ReasonDuplicateKey, "a request with this key was taken before")
 	case fulmarclaim.Full:
-		return fulmarapi.NewUnknown(fulmarapi.ReasonClaimsFull, "too many keys are remembered").WithRetryAfter(1)
+		return fulmarapi.NewUnknown(fulmarapi.ReasonClaimsFull, "too many keys are being claimed").WithRetryAfter(1)
 	default:
 		return fulmarapi.NewUnknown(fulmarapi.ReasonClaimUnavailable, "the key could not be checked").WithRetryAfter(1)
 	}
--- a/internal/fulmarplatform/client.go
+++ b/internal/fulmarplatform/client.go
@@ -65,8 +65,11 @@
 	var reply SwapReply
 	request := SwapRequest{Key: key, Expected: expected, Value: value, Lease: lease}
 	err := c.call(ctx, http.MethodPost, PathSwap, request, &reply)
-	if status := statusOf(err); status == http.StatusConflict {
+	switch statusOf(err) {
+	case http.StatusConflict:
 		return 0, &ConflictError{Key: key, Current: reply.Revision}
+	case http.StatusGone:
+		return 0, &LeaseLostError{Lease: lease}
 	}
 	if err != nil && !tookNoEffect(err) {
 		return 0, &UnknownError{Key: key, Cause: err}
--- a/internal/fulmarplatform/swap.go
+++ b/internal/fulmarplatform/swap.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
@@ -40,8 +41,7 @@
 		if err == nil {
 			return Entry{Key: swap.Key, Value: swap.Value, Revision: revision}, nil
 		}
-		var unavailable *UnavailableError
-		if errors.As(err, &unavailable) && permanent(unavailable) {
+		if isPermanent(err) {
 			return Entry{}, err
 		}
 		current, readErr := store.Get(ctx, swap.Key)
@@ -62,8 +62,17 @@
 	}
 }
 
-// permanent tells whether a refused call will be refused again, such as one with too large a value.
-func permanent(err *UnavailableError) bool {
+// isPermanent tells whether a refused call will be refused again, such as one
+// under a lease that has ended or with too large a value.
+func isPermanent(err error) bool {
+	var lost *LeaseLostError
+	if errors.As(err, &lost) {
+		return true
+	}
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) {
+		return false
+	}
 	status := statusOf(err)
-	return status >= 400 && status < 500 && status != 429
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusTooManyRequests
 }
--- a/internal/fulmarsettings/daemon.go
+++ b/internal/fulmarsettings/daemon.go
@@ -58,8 +58,7 @@
 	BufferedTotal    int64 `json:"buffered_total_bytes"`
 	CallerRequests   int   `json:"caller_requests"`
 	RingEvents       int   `json:"ring_events"`
-	ClaimsPerBucket  int   `json:"claims_per_bucket"`
-	ClaimBuckets     int   `json:"claim_buckets"`
+	ClaimsPerSecond  int   `json:"claims_per_second"`
 	WorkerConnection int   `json:"worker_connections"`
 }
 
@@ -78,7 +77,6 @@
 	StopNotReady  fulmarclock.Millis `json:"stop_not_ready"`
 	StopInFlight  fulmarclock.Millis `json:"stop_in_flight"`
 	ClaimKept     fulmarclock.Millis `json:"claim_kept"`
-	ClaimBatch    fulmarclock.Millis `json:"claim_batch"`
 }
 
 // DefaultDaemon returns the settings that a file starts from.
@@ -90,14 +88,14 @@
 		Policy: PolicyLeastLoaded, Sharing: SharingDigests,
 		Limits: Limits{
 			HeaderBytes: 32 << 10, BodyBytes: 64 << 20, BufferedBody: 64 << 10, BufferedTotal: 24 << 20,
-			CallerRequests: 8192, RingEvents: 4096, ClaimsPerBucket: 8000, ClaimBuckets: 16, WorkerConnection: 64,
+			CallerRequests: 8192, RingEvents: 4096, ClaimsPerSecond: 40, WorkerConnection: 64,
 		},
 		Times: Times{
 			ReadHeader: 5 * fulmarclock.Second, ReadBody: 60 * fulmarclock.Second, WriteIdle: 30 * fulmarclock.Second,
 			ConnectWorker: fulmarclock.Second, Acknowledge: 3 * fulmarclock.Second, FreshIdle: 2 * fulmarclock.Second,
 			Digest: 250, VMList: fulmarclock.Second, Lease: 6 * fulmarclock.Second, PlatformCall: 2 * fulmarclock.Second,
 			StopNotReady: 2 * fulmarclock.Second, StopInFlight: 10 * fulmarclock.Minute,
-			ClaimKept: 10 * fulmarclock.Minute, ClaimBatch: 20,
+			ClaimKept: 10 * fulmarclock.Minute,
 		},
 	}
 }
@@ -170,7 +168,7 @@
 		{"limits.header_bytes", int64(l.HeaderBytes)}, {"limits.body_bytes", l.BodyBytes},
 		{"limits.buffered_body_bytes", l.BufferedBody}, {"limits.buffered_total_bytes", l.BufferedTotal},
 		{"limits.caller_requests", int64(l.CallerRequests)}, {"limits.ring_events", int64(l.RingEvents)},
-		{"limits.claims_per_bucket", int64(l.ClaimsPerBucket)}, {"limits.claim_buckets", int64(l.ClaimBuckets)},
+		{"limits.claims_per_second", int64(l.ClaimsPerSecond)},
 		{"limits.worker_connections", int64(l.WorkerConnection)},
 	}
 }
@@ -181,6 +179,6 @@
 		{"times.connect_worker", t.ConnectWorker}, {"times.acknowledge", t.Acknowledge}, {"times.fresh_idle", t.FreshIdle},
 		{"times.digest", t.Digest}, {"times.vm_list", t.VMList}, {"times.lease", t.Lease},
 		{"times.platform_call", t.PlatformCall}, {"times.stop_not_ready", t.StopNotReady},
-		{"times.stop_in_flight", t.StopInFlight}, {"times.claim_kept", t.ClaimKept}, {"times.claim_batch", t.ClaimBatch},
+		{"times.stop_in_flight", t.StopInFlight}, {"times.claim_kept", t.ClaimKept},
 	}
 }
--- a/internal/fulmarstandin/platform.go
+++ b/internal/fulmarstandin/platform.go
@@ -133,15 +133,14 @@
 	if len(request.Value) > valueLimit {
 		return c.NoContent(http.StatusRequestEntityTooLarge)
 	}
-	revision, swapped := p.store.Swap(request)
+	revision, result := p.store.Swap(request)
 	if p.faults.takeLostAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	status := http.StatusOK
-	if !swapped {
-		status = http.StatusConflict
+	statuses := map[SwapResult]int{
+		Swapped: http.StatusOK, Conflicting: http.StatusConflict, LeaseEnded: http.StatusGone,
 	}
-	return c.JSON(status, fulmarplatform.SwapReply{Revision: revision})
+	return c.JSON(statuses[result], fulmarplatform.SwapReply{Revision: revision})
 }
 
 func (p *Platform) watch(c echo.Context) error {
--- a/internal/fulmarstandin/store.go
+++ b/internal/fulmarstandin/store.go
@@ -54,21 +54,31 @@
 	return s.live(key)
 }
 
+// SwapResult is what became of a swap.
+type SwapResult int
+
+// Results of a swap.
+const (
+	Swapped SwapResult = iota
+	Conflicting
+	LeaseEnded
+)
+
 // Swap writes a value if the key is at the expected revision. The revision
 // returned is the new one, or the one that stands in the way.
-func (s *Store) Swap(request fulmarplatform.SwapRequest) (revision fulmarplatform.Revision, swapped bool) {
+func (s *Store) Swap(request fulmarplatform.SwapRequest) (fulmarplatform.Revision, SwapResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	current := s.live(request.Key)
 	if current.Revision != request.Expected {
-		return current.Revision, false
+		return current.Revision, Conflicting
 	}
 	if _, alive := s.leases[request.Lease]; request.Lease != "" && !alive {
-		return current.Revision, false
+		return current.Revision, LeaseEnded
 	}
 	entry := fulmarplatform.Entry{Key: request.Key, Value: request.Value}
-	return s.put(entry, request.Lease), true
+	return s.put(entry, request.Lease), Swapped
 }
 
 // Grant makes a lease.
