--- /dev/null
+++ b/internal/fulmardispatch/scheduler_test.go
@@ -0,0 +1,252 @@
+package fulmardispatch_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarqueue"
+	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
+)
+
+// schedulerBench drives one scheduler with a manual clock, a step at a time.
+type schedulerBench struct {
+	clock     *fulmarclock.Manual
+	scheduler *fulmardispatch.Scheduler
+}
+
+func newSchedulerBench(tb testing.TB, workers int, bounds fulmarqueue.Bounds) *schedulerBench {
+	b := &schedulerBench{clock: fulmarclock.NewManual(0)}
+	b.scheduler = fulmardispatch.NewScheduler("p", fulmardispatch.Options{
+		Clock: b.clock, Policy: fulmardispatch.LeastLoaded{}, Ring: 4096, Seed: 1,
+		Settings: fulmardispatch.Settings{Bounds: bounds, AvailableShare: 0.75, RetryShare: 0.2},
+	})
+	go b.scheduler.Run()
+	b.setWorkers(workers)
+	tb.Cleanup(b.close)
+	return b
+}
+
+func (b *schedulerBench) close() {
+	b.scheduler.Close(fulmarapi.NewRefusal(fulmarapi.ReasonStopping, ""))
+}
+
+func (b *schedulerBench) setWorkers(n int) {
+	view := fulmardispatch.View{Connections: 8, Members: 1}
+	for i := range n {
+		view.Workers = append(view.Workers, fulmardispatch.Assigned{
+			Target: fulmardispatch.Target{VM: fmt.Sprintf("vm-%d", i), Address: fmt.Sprintf("vm-%d", i), Pool: "p", Epoch: 1}, Slots: 8,
+		})
+	}
+	b.scheduler.SetView(view)
+}
+
+func (b *schedulerBench) submit(idempotent bool, deadline fulmarclock.Millis) *fulmardispatch.Ticket {
+	t := fulmardispatch.NewTicket("", fulmarapi.Normal, idempotent, deadline)
+	b.scheduler.Submit(t)
+	return t
+}
+
+// settle waits until the scheduler has handled every event sent so far.
+func (b *schedulerBench) settle() fulmarapi.PoolReport {
+	report, _ := b.scheduler.Report()
+	return report
+}
+
+// granted returns a ticket's grant, if it has one by now.
+func (b *schedulerBench) granted(t *fulmardispatch.Ticket) (fulmardispatch.Grant, bool) {
+	b.settle()
+	b.settle() // slots are granted after the event before
+	select {
+	case grant := <-t.Grants():
+		return grant, true
+	default:
+		return fulmardispatch.Grant{}, false
+	}
+}
+
+const far = fulmarclock.Millis(1) << 40
+
+var wide = fulmarqueue.Bounds{Requests: 10000, TeamShare: 1}
+
+// TestFastFailingWorkerIsEjectedWithinTheBudget lets workers fail and counts what they are given.
+func TestFastFailingWorkerIsEjectedWithinTheBudget(t *testing.T) {
+	cases := []struct {
+		name             string
+		workers, failing int
+		ejected, suspect int
+	}{
+		{"one of four", 4, 1, 1, 0},
+		{"one of three has no budget", 3, 1, 0, 1},
+		{"two of eight", 8, 2, 2, 0},
+		{"three of eight are over the budget of two", 8, 3, 2, 1},
+		{"all of four", 4, 4, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newSchedulerBench(t, tc.workers, wide)
+			given := map[string]int{}
+			const requests = 400
+			for range requests {
+				ticket := b.submit(false, far)
+				grant, found := b.granted(ticket)
+				qt.Assert(t, found, qt.IsTrue)
+				given[grant.Target.VM]++
+				b.scheduler.Finish(ticket, resultOf(grant, tc.failing))
+			}
+			byHealth := map[string]int{}
+			for _, w := range b.settle().Workers {
+				byHealth[w.Health]++
+			}
+			qt.Check(t, byHealth["ejected"], qt.Equals, tc.ejected)
+			qt.Check(t, byHealth["suspect"], qt.Equals, tc.suspect)
+			if tc.failing < tc.workers {
+				share := float64(given["vm-0"]) / requests
+				qt.Check(t, share < 0.1, qt.IsTrue, qt.Commentf("the failing worker got %.0f%%", 100*share))
+			}
+		})
+	}
+}
+
+// resultOf makes the first workers fail everything.
+func resultOf(grant fulmardispatch.Grant, failing int) fulmardispatch.Result {
+	for i := range failing {
+		if grant.Target.VM == fmt.Sprintf("vm-%d", i) {
+			return fulmardispatch.ResultFailed
+		}
+	}
+	return fulmardispatch.ResultAnswered
+}
+
+func TestUnreachableWorkersComeBack(t *testing.T) {
+	c := qt.New(t)
+	b := newSchedulerBench(t, 1, wide)
+	first := b.submit(false, far)
+	_, found := b.granted(first)
+	c.Assert(found, qt.IsTrue)
+	b.scheduler.Requeue(first, fulmardispatch.ResultUnreachable)
+	_, found = b.granted(first)
+	c.Assert(found, qt.IsFalse)
+	b.clock.Advance(300)
+	b.submit(true, far)
+	_, found = b.granted(first)
+	c.Assert(found, qt.IsTrue, qt.Commentf("a request of any method may probe a worker that was only unreachable"))
+}
+
+func TestDeadlineThatCannotBeMetIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newSchedulerBench(t, 1, wide)
+	for range 40 {
+		ticket := b.submit(true, far)
+		_, found := b.granted(ticket)
+		c.Assert(found, qt.IsTrue)
+		b.clock.Advance(1000)
+		b.scheduler.Finish(ticket, fulmardispatch.ResultAnswered)
+	}
+	for range 8 + 80 {
+		b.submit(true, far)
+	}
+	soon := b.submit(true, b.clock.Now()+2000)
+	grant, found := b.granted(soon)
+	c.Assert(found, qt.IsTrue)
+	c.Assert(grant.Refusal.Reason(), qt.Equals, fulmarapi.ReasonDeadlineTooSoon)
+	later := b.submit(true, b.clock.Now()+60_000)
+	_, found = b.granted(later)
+	c.Assert(found, qt.IsFalse)
+}
+
+func TestNothingIsRefusedWhileASlotIsFree(t *testing.T) {
+	c := qt.New(t)
+	b := newSchedulerBench(t, 2, fulmarqueue.Bounds{Requests: 1, TeamShare: 1})
+	for range 16 {
+		grant, found := b.granted(b.submit(true, b.clock.Now()+1))
+		c.Assert(found, qt.IsTrue)
+		c.Assert(grant.Refusal == nil, qt.IsTrue)
+	}
+}
+
+// TestSchedulerKeepsItsBooks drives a scheduler with random events: no worker
+// has more requests than its limit, and at the end every slot and place is free.
+func TestSchedulerKeepsItsBooks(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		b := newRapidBench(r)
+		defer b.close()
+		var waiting, running []*fulmardispatch.Ticket
+		for range rapid.IntRange(1, 80).Draw(r, "steps") {
+			switch rapid.IntRange(0, 5).Draw(r, "step") {
+			case 0, 1:
+				waiting = append(waiting, b.submit(rapid.Bool().Draw(r, "idempotent"), far))
+			case 2:
+				waiting = b.cancel(r, waiting)
+			case 3:
+				running = b.finish(r, running)
+			case 4:
+				b.clock.Advance(fulmarclock.Millis(rapid.IntRange(1, 5000).Draw(r, "advance")))
+			case 5:
+				b.setWorkers(rapid.IntRange(0, 4).Draw(r, "workers"))
+			}
+			waiting, running = b.collect(waiting, running)
+			b.checkLimits(r)
+		}
+		for _, ticket := range append(waiting, running...) {
+			b.scheduler.Cancel(ticket)
+		}
+		if report := b.settle(); report.Running != 0 || report.Waiting != 0 {
+			r.Fatalf("%d run and %d wait after all have ended", report.Running, report.Waiting)
+		}
+	})
+}
+
+func newRapidBench(r *rapid.T) *schedulerBench {
+	b := &schedulerBench{clock: fulmarclock.NewManual(0)}
+	b.scheduler = fulmardispatch.NewScheduler("p", fulmardispatch.Options{
+		Clock: b.clock, Policy: fulmardispatch.LeastLoaded{}, Ring: 4096, Seed: rapid.Uint64().Draw(r, "seed"),
+		Settings: fulmardispatch.Settings{Bounds: wide, AvailableShare: 0.5, RetryShare: 0.2},
+	})
+	go b.scheduler.Run()
+	b.setWorkers(2)
+	return b
+}
+
+func (b *schedulerBench) cancel(r *rapid.T, tickets []*fulmardispatch.Ticket) []*fulmardispatch.Ticket {
+	if len(tickets) == 0 {
+		return tickets
+	}
+	i := rapid.IntRange(0, len(tickets)-1).Draw(r, "cancelled")
+	b.scheduler.Cancel(tickets[i])
+	return append(tickets[:i:i], tickets[i+1:]...)
+}
+
+func (b *schedulerBench) finish(r *rapid.T, running []*fulmardispatch.Ticket) []*fulmardispatch.Ticket {
+	if len(running) == 0 {
+		return running
+	}
+	i := rapid.IntRange(0, len(running)-1).Draw(r, "finished")
+	result := fulmardispatch.Result(rapid.IntRange(0, int(fulmardispatch.ResultNeutral)).Draw(r, "result"))
+	b.scheduler.Finish(running[i], result)
+	return append(running[:i:i], running[i+1:]...)
+}
+
+// collect moves the tickets that were granted from waiting to running.
+func (b *schedulerBench) collect(waiting, running []*fulmardispatch.Ticket) (stillWaiting, allRunning []*fulmardispatch.Ticket) {
+	for _, ticket := range waiting {
+		if _, found := b.granted(ticket); found {
+			running = append(running, ticket)
+			continue
+		}
+		stillWaiting = append(stillWaiting, ticket)
+	}
+	return stillWaiting, running
+}
+
+func (b *schedulerBench) checkLimits(r *rapid.T) {
+	for _, w := range b.settle().Workers {
+		if w.Running > 8 || w.Running < 0 {
+			r.Fatalf("worker %s has %d requests in 8 slots", w.VM, w.Running)
+		}
+	}
+}
--- a/internal/fulmarqueue/queue_test.go
+++ b/internal/fulmarqueue/queue_test.go
@@ -1,6 +1,7 @@
 package fulmarqueue_test
 
 import (
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -110,12 +111,12 @@
 				delete(waiting, entry.Value())
 				queue.Done(entry)
 			case 3:
-				for id, entry := range waiting {
+				id := lowestOf(waiting)
+				if entry, found := waiting[id]; found {
 					if !queue.Remove(entry) || queue.Remove(entry) {
 						r.Fatalf("request %d was not removed once", id)
 					}
 					delete(waiting, id)
-					break
 				}
 			}
 			if queue.Len() != len(waiting) {
@@ -138,3 +139,12 @@
 		}
 	}
 }
+
+// lowestOf returns the lowest waiting request, so that a seed always removes the same one.
+func lowestOf(waiting map[int]*fulmarqueue.Entry[int]) int {
+	lowest := math.MaxInt
+	for id := range waiting {
+		lowest = min(lowest, id)
+	}
+	return lowest
+}
--- a/internal/fulmarstandin/worker.go
+++ b/internal/fulmarstandin/worker.go
@@ -111,6 +111,9 @@
 // BusyRefusals returns how many requests found every slot taken.
 func (w *Worker) BusyRefusals() int64 { return w.busy.Load() }
 
+// PeakConnections returns the highest number of connections open at a time.
+func (w *Worker) PeakConnections() int64 { return w.peak.Load() }
+
 // Close kills the worker with its connections and waits for it.
 func (w *Worker) Close() {
 	close(w.stop)
