A scheduler's report comes after the round's grants

Cause: a report was answered while events were still being applied, before the free slots were granted, so a test that asked twice to wait for the grants could still be too early: the last commit's ejection test failed once under the race detector. Reports are now collected and answered at the end of the round, which also shows operators a consistent state.

Ruled out: the manual clock (no timer is involved in these cases).

--- a/internal/fulmardispatch/event.go
+++ b/internal/fulmardispatch/event.go
@@ -109,7 +109,21 @@
 
 type reportEvent struct{ reply chan fulmarapi.PoolReport }
 
-func (e reportEvent) apply(s *Scheduler) {
+func (e reportEvent) apply(s *Scheduler) { s.asked = append(s.asked, e.reply) }
+
+// answerReports sends the state after the round's slots have been granted.
+func (s *Scheduler) answerReports() {
+	if len(s.asked) == 0 {
+		return
+	}
+	report := s.report()
+	for _, reply := range s.asked {
+		reply <- report
+	}
+	s.asked = s.asked[:0]
+}
+
+func (s *Scheduler) report() fulmarapi.PoolReport {
 	report := fulmarapi.PoolReport{
 		Pool: s.pool, Running: s.running, Waiting: s.queue.Len(), Slots: s.capacity(),
 		Allowed: s.allowed(), MeanMillis: s.latency.mean,
@@ -120,5 +134,5 @@
 			Running: w.running, Health: w.health.Verdict().String(), Leaving: w.assigned.Leaving,
 		})
 	}
-	e.reply <- report
+	return report
 }
--- a/internal/fulmardispatch/scheduler.go
+++ b/internal/fulmardispatch/scheduler.go
@@ -89,7 +89,9 @@
 	// contended is the time until which slots of this member's own answers are used first.
 	contended fulmarclock.Millis
 	woken     bool
-	wake      chan struct{}
+	// asked are the reports to be answered at the end of this round.
+	asked []chan fulmarapi.PoolReport
+	wake  chan struct{}
 
 	candidates []Candidate
 	places     []*worker
@@ -129,9 +131,11 @@
 			s.woken = false
 		case <-s.ring.Closed():
 			s.applyReady()
+			s.answerReports()
 			return
 		}
 		s.grantSlots()
+		s.answerReports()
 	}
 }
 
--- a/internal/fulmardispatch/scheduler_test.go
+++ b/internal/fulmardispatch/scheduler_test.go
@@ -51,7 +51,7 @@
 	return t
 }
 
-// settle waits until the scheduler has handled every event sent so far.
+// settle waits until the scheduler has handled every event sent so far and granted the free slots.
 func (b *schedulerBench) settle() fulmarapi.PoolReport {
 	report, _ := b.scheduler.Report()
 	return report
@@ -60,7 +60,6 @@
 // granted returns a ticket's grant, if it has one by now.
 func (b *schedulerBench) granted(t *fulmardispatch.Ticket) (fulmardispatch.Grant, bool) {
 	b.settle()
-	b.settle() // slots are granted after the event before
 	select {
 	case grant := <-t.Grants():
 		return grant, true
