A member cut off from everyone stops; a VM never changes pool by leaving the list

Cause 1: a member that had lost the platform and its peers went on sending work on an old view for ever, also to VMs that were leaving. It now stops within the fence time (3 s by default) when neither the platform nor any other member has answered; while peers answer, an outage of the platform stops nobody.

Cause 2: the planner dropped the assignment of a VM that left the platform's list or whose pool was removed, and gave the VM to another pool when it came back, while requests of the first pool might still run on it. Assignments now outlive the list (1,000 vanished VMs are remembered), and a VM of a removed pool stays out of use until fenced moves exist.

Ruled out for 1: the platform alone as evidence, which would stop every member in each outage of it.

Before: the new test of the cut-off member never came to a refusal in 60 s with the guard removed; with the former planner TestAssignmentsOutliveTheList failed. After: the whole suite passes with the race detector.

Also: callers' connections are bounded (12,288 by default; more wait).

--- a/internal/fulmarassign/table.go
+++ b/internal/fulmarassign/table.go
@@ -57,33 +57,38 @@
 	return value, trace.Wrap(err)
 }
 
-// Plan gives each live VM without a pool to the pool that lacks the most VMs,
-// and forgets the VMs that have left the list or whose pool is gone. It moves no VM.
+// vanishedKept is the number of VMs that have left the list whose pool is remembered.
+const vanishedKept = 1000
+
+// Plan gives each live VM without a pool to the pool that lacks the most VMs.
+// It moves no VM: one that comes back to the list, or whose pool was removed,
+// keeps its assignment, as requests of that pool may still run on it.
 func Plan(table Table, vms []fulmarplatform.VM, document fulmarconfig.Document) (next Table, changed bool) {
 	p := planner{
-		next:  Table{Epoch: table.Epoch, VMs: make(map[string]Assignment, len(vms))},
-		lacks: map[string]int{}, document: document,
+		next:  Table{Epoch: table.Epoch, VMs: make(map[string]Assignment, len(table.VMs))},
+		lacks: map[string]int{},
 	}
 	for name, pool := range document.Pools {
 		p.lacks[name] = pool.VMs
 	}
 	p.keep(table, vms)
 	p.assign(vms)
-	return p.next, p.changed || len(p.next.VMs) != len(table.VMs)
+	p.forgetOldest(vms)
+	return p.next, p.changed
 }
 
 type planner struct {
-	next     Table
-	lacks    map[string]int
-	document fulmarconfig.Document
-	changed  bool
+	next    Table
+	lacks   map[string]int
+	changed bool
 }
 
 func (p *planner) keep(table Table, vms []fulmarplatform.VM) {
+	for id, assignment := range table.VMs {
+		p.next.VMs[id] = assignment
+	}
 	for _, vm := range vms {
-		assignment, assigned := table.VMs[vm.ID]
-		if _, known := p.document.Pools[assignment.Pool]; assigned && known {
-			p.next.VMs[vm.ID] = assignment
+		if assignment, assigned := table.VMs[vm.ID]; assigned {
 			p.lacks[assignment.Pool]--
 		}
 	}
@@ -105,17 +110,35 @@
 	}
 }
 
-func (p *planner) neediest() (pool string, found bool) {
-	names := make([]string, 0, len(p.lacks))
-	for name := range p.lacks {
-		names = append(names, name)
+// forgetOldest drops the oldest assignments of VMs that have left the list, above the number kept.
+func (p *planner) forgetOldest(vms []fulmarplatform.VM) {
+	vanished := map[string]Assignment{}
+	for id, assignment := range p.next.VMs {
+		vanished[id] = assignment
+	}
+	for _, vm := range vms {
+		delete(vanished, vm.ID)
+	}
+	if len(vanished) <= vanishedKept {
+		return
 	}
-	sort.Strings(names)
+	ids := make([]string, 0, len(vanished))
+	for id := range vanished {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return vanished[ids[i]].Epoch < vanished[ids[j]].Epoch })
+	for _, id := range ids[:len(ids)-vanishedKept] {
+		delete(p.next.VMs, id)
+		p.changed = true
+	}
+}
+
+func (p *planner) neediest() (pool string, found bool) {
 	most := 0
-	for _, name := range names {
-		if p.lacks[name] > most {
-			pool, most = name, p.lacks[name]
+	for name, lack := range p.lacks {
+		if lack > most || lack == most && found && name < pool {
+			pool, most, found = name, lack, lack > 0
 		}
 	}
-	return pool, most > 0
+	return pool, found
 }
--- a/internal/fulmarassign/table_test.go
+++ b/internal/fulmarassign/table_test.go
@@ -33,6 +33,27 @@
 	c.Assert(changed, qt.IsFalse)
 }
 
+// TestAssignmentsOutliveTheList checks that a VM which the list drops for a while, or
+// whose pool is removed, is not given to another pool: its requests may still run.
+func TestAssignmentsOutliveTheList(t *testing.T) {
+	c := qt.New(t)
+	both := fulmarconfig.Document{Pools: map[string]fulmarconfig.Pool{"a": {VMs: 1}, "b": {VMs: 1}}}
+	onlyB := fulmarconfig.Document{Pools: map[string]fulmarconfig.Pool{"b": {VMs: 2}}}
+	first, _ := fulmarassign.Plan(fulmarassign.Table{}, vms(2), both)
+	gone, _ := fulmarassign.Plan(first, nil, onlyB)
+	back, _ := fulmarassign.Plan(gone, vms(2), onlyB)
+	c.Assert(back.VMs["vm-000"], qt.Equals, first.VMs["vm-000"])
+	c.Assert(back.VMs["vm-001"], qt.Equals, first.VMs["vm-001"])
+}
+
+func TestTableIsBounded(t *testing.T) {
+	document := fulmarconfig.Document{Pools: map[string]fulmarconfig.Pool{"a": {VMs: 4000}}}
+	table, _ := fulmarassign.Plan(fulmarassign.Table{}, vms(4000), document)
+	table, changed := fulmarassign.Plan(table, nil, document)
+	qt.Assert(t, changed, qt.IsTrue)
+	qt.Assert(t, table.VMs, qt.HasLen, 1000)
+}
+
 // TestEpochsNeverRepeat plans over a fleet that changes at random.
 func TestEpochsNeverRepeat(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/internal/fulmarbench/demo.go
+++ b/internal/fulmarbench/demo.go
@@ -67,7 +67,7 @@
 	if d.platform, err = fulmarstandin.StartPlatform("127.0.0.1:0", d.clock); err != nil {
 		return err
 	}
-	client := fulmarplatform.NewClient(d.platform.URL(), platformCall, noCounter{})
+	client := fulmarplatform.NewClient(d.platform.URL(), d.clock, platformCall, noCounter{})
 	workers := options{name: "vm", count: demoWorkers, perRack: 4, slots: 8, connections: 64}
 	if d.workers, err = startWorkers(&workers, client, d.clock); err != nil {
 		return err
--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -107,7 +107,7 @@
 func (d *Daemon) assemble() {
 	limits, times := d.settings.Limits, d.settings.Times
 	d.metrics = fulmarmetrics.New(d.settings.Member)
-	d.platform = fulmarplatform.NewClient(d.settings.Platform, times.PlatformCall, d.metrics)
+	d.platform = fulmarplatform.NewClient(d.settings.Platform, d.clock, times.PlatformCall, d.metrics)
 	d.fleet = fulmarfleet.New(d.platform, d.clock, d.logger, d.metrics, times.VMList)
 	d.membership = fulmarmember.NewMembership(d.platform, d.clock, d.self, times.Lease, d.logger, d.metrics)
 	d.exchange = fulmarmember.NewExchange(d.self, d.fleet, d.clock, d, d.metrics, d.logger, times.Digest)
@@ -123,8 +123,9 @@
 	})
 	d.entry = fulmarentry.New(fulmarentry.Options{
 		Clock: d.clock, Schedulers: d.pools, Configuration: d, Sender: d.transport, Claimer: d.claimer,
-		Counters: d.metrics, Limits: limits, Times: times,
+		Counters: d.metrics, Fence: d, Limits: limits, Times: times,
 	})
+	d.callers.limit(limits.CallerConnections)
 	d.callers.serve(&http.Server{
 		Handler: d.entry, MaxHeaderBytes: limits.HeaderBytes,
 		ReadHeaderTimeout: times.ReadHeader.Duration(), IdleTimeout: callerIdle,
@@ -141,6 +142,14 @@
 	fulmarpeerpb.RegisterPeersServer(d.grpc, d.exchange)
 }
 
+// IsFenced tells whether this member has lost touch with the platform and with every other member.
+func (d *Daemon) IsFenced() bool {
+	return fulmarmember.IsFenced(fulmarmember.Contact{
+		Now: d.clock.Now(), Platform: d.platform.Answered(), Peer: d.exchange.LastHeard(),
+		Others: len(d.fleet.View().Others(d.self.Name)), Limit: d.settings.Times.Fence,
+	})
+}
+
 // newPolicy returns the policy of the settings, which were checked.
 func (d *Daemon) newPolicy() fulmardispatch.Policy {
 	if policy, known := fulmardispatch.PolicyByName(d.settings.Policy); known {
--- a/internal/fulmardaemon/listening.go
+++ b/internal/fulmardaemon/listening.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/netutil"
 )
 
 // listening is one HTTP listener with its server.
@@ -23,6 +24,11 @@
 	return &listening{listener: listener}, nil
 }
 
+// limit bounds the connections open at a time; further ones wait to be accepted.
+func (l *listening) limit(connections int) {
+	l.listener = netutil.LimitListener(l.listener, connections)
+}
+
 func (l *listening) address() string { return l.listener.Addr().String() }
 
 func (l *listening) serve(server *http.Server) { l.server = server }
--- a/internal/fulmardaemon/network_test.go
+++ b/internal/fulmardaemon/network_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarstandin"
 	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
 )
 
@@ -169,3 +170,27 @@
 		f.c.Check(r.outcome, qt.Not(qt.Equals), fulmarapi.NotRun)
 	}
 }
+
+// TestMemberCutOffFromAllStops silences the platform and then the other member:
+// two members that hear each other go on, one that hears nobody refuses.
+func TestMemberCutOffFromAllStops(t *testing.T) {
+	f := startFleet(qt.New(t), 2, 1)
+	platformDown(f)
+	<-f.clock.After(1500)
+	together := f.send(context.Background(), ask{id: "together", method: post})
+	f.c.Assert(together.outcome, qt.Equals, fulmarapi.Answered, qt.Commentf("%s", together.reason))
+	f.members[1].close()
+	tries := 0
+	f.eventually("the member alone refuses", func() bool {
+		tries++
+		r := f.send(context.Background(), ask{id: fmt.Sprintf("alone-%d", tries), method: post})
+		f.checkTruth([]reply{r})
+		return r.reason == fulmarapi.ReasonFenced
+	})
+	f.c.Assert(f.members[0].daemon.Entry().IsReady(), qt.IsFalse)
+	f.platform.Faults().Set(fulmarstandin.FaultTable{})
+	f.eventually("it serves again once the platform answers", func() bool {
+		tries++
+		return f.send(context.Background(), ask{id: fmt.Sprintf("alone-%d", tries), method: post}).outcome == fulmarapi.Answered
+	})
+}
--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -59,6 +59,11 @@
 	Claim(verdict string)
 }
 
+// Fence tells whether this member must not send work.
+type Fence interface {
+	IsFenced() bool
+}
+
 // Options are what an entry works with.
 type Options struct {
 	Clock         fulmarclock.Clock
@@ -67,6 +72,7 @@
 	Sender        Sender
 	Claimer       Claimer
 	Counters      Counters
+	Fence         Fence
 	Limits        fulmarsettings.Limits
 	Times         fulmarsettings.Times
 }
@@ -99,7 +105,7 @@
 
 // IsReady tells whether the balancer should send callers here.
 func (e *Entry) IsReady() bool {
-	return !e.notReady.Load() && e.options.Configuration.Record().Generation > 0
+	return !e.notReady.Load() && !e.options.Fence.IsFenced() && e.options.Configuration.Record().Generation > 0
 }
 
 // LeaveBalancer makes the health answer not-ready while requests are still taken.
@@ -181,6 +187,8 @@
 		return fulmarapi.NewRefusal(fulmarapi.ReasonMemoryFull, "too many requests are open").WithRetryAfter(1)
 	case e.options.Configuration.Record().Generation == 0:
 		return fulmarapi.NewRefusal(fulmarapi.ReasonNoConfiguration, "no configuration is known yet").WithRetryAfter(1)
+	case e.options.Fence.IsFenced():
+		return fulmarapi.NewRefusal(fulmarapi.ReasonFenced, "this member has lost touch with the fleet").WithRetryAfter(1)
 	}
 	return nil
 }
--- a/internal/fulmarentry/entry_test.go
+++ b/internal/fulmarentry/entry_test.go
@@ -90,6 +90,7 @@
 func (p *onePool) Scheduler(pool string) (*fulmardispatch.Scheduler, bool) {
 	return p.scheduler, pool == "p"
 }
+func (p *onePool) IsFenced() bool              { return false }
 func (p *onePool) Record() fulmarconfig.Record { return p.record }
 func (p *onePool) Outcome(fulmarapi.Outcome)   {}
 func (p *onePool) Retry(string)                {}
@@ -127,7 +128,7 @@
 	settings := fulmarsettings.DefaultDaemon()
 	entry := fulmarentry.New(fulmarentry.Options{
 		Clock: clock, Schedulers: pool, Configuration: pool, Sender: transport, Claimer: noClaims{},
-		Counters: pool, Limits: settings.Limits, Times: settings.Times,
+		Counters: pool, Fence: pool, Limits: settings.Limits, Times: settings.Times,
 	})
 	tb.Cleanup(func() {
 		pool.scheduler.Close(fulmarapi.NewRefusal(fulmarapi.ReasonStopping, ""))
--- a/internal/fulmarentry/passage.go
+++ b/internal/fulmarentry/passage.go
@@ -101,6 +101,10 @@
 		if grant.Refusal != nil {
 			return grant, p.ended(grant.Refusal)
 		}
+		if p.entry.options.Fence.IsFenced() {
+			p.scheduler.Cancel(p.ticket)
+			return grant, p.ended(fulmarapi.NewRefusal(fulmarapi.ReasonFenced, "this member has lost touch with the fleet"))
+		}
 		if p.claim != nil && !p.claim.MayDispatch() {
 			p.scheduler.Cancel(p.ticket)
 			return grant, fulmarapi.NewUnknown(fulmarapi.ReasonClaimExpired, "the key was claimed too long ago")
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -22,6 +23,8 @@
 	digestStale = 2 * fulmarclock.Second
 	// callDigests is how many digest intervals one call between members may take.
 	callDigests = 4
+	// neverHeard stands for a message that never came, in milliseconds.
+	neverHeard = fulmarclock.Millis(math.MinInt32)
 	// keepAlive is the time between pings on a silent connection between members.
 	keepAlive = 10 * fulmarclock.Second
 	// keepAliveTimeout is how long a ping may stay unanswered.
@@ -112,6 +115,20 @@
 	return e.digests[name].digest.GetGeneration()
 }
 
+// LastHeard returns the time of the last message of any other member, or a
+// time far back when there was none.
+func (e *Exchange) LastHeard() fulmarclock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := neverHeard
+	for name, seen := range e.digests {
+		if name != e.self.Name {
+			last = max(last, seen.at)
+		}
+	}
+	return last
+}
+
 // Exchange answers a peer's digest with this member's own.
 func (e *Exchange) Exchange(_ context.Context, digest *fulmarpeerpb.Digest) (*fulmarpeerpb.Digest, error) {
 	e.counters.PeerMessage("in")
--- a/internal/fulmarsettings/daemon.go
+++ b/internal/fulmarsettings/daemon.go
@@ -52,14 +52,15 @@
 
 // Limits bound what callers can make the daemon hold.
 type Limits struct {
-	HeaderBytes      int   `json:"header_bytes"`
-	BodyBytes        int64 `json:"body_bytes"`
-	BufferedBody     int64 `json:"buffered_body_bytes"`
-	BufferedTotal    int64 `json:"buffered_total_bytes"`
-	CallerRequests   int   `json:"caller_requests"`
-	RingEvents       int   `json:"ring_events"`
-	ClaimsPerSecond  int   `json:"claims_per_second"`
-	WorkerConnection int   `json:"worker_connections"`
+	HeaderBytes       int   `json:"header_bytes"`
+	BodyBytes         int64 `json:"body_bytes"`
+	BufferedBody      int64 `json:"buffered_body_bytes"`
+	BufferedTotal     int64 `json:"buffered_total_bytes"`
+	CallerRequests    int   `json:"caller_requests"`
+	CallerConnections int   `json:"caller_connections"`
+	RingEvents        int   `json:"ring_events"`
+	ClaimsPerSecond   int   `json:"claims_per_second"`
+	WorkerConnection  int   `json:"worker_connections"`
 }
 
 // Times bound how long each step may take.
@@ -71,12 +72,14 @@
 	Acknowledge   fulmarclock.Millis `json:"acknowledge"`
 	FreshIdle     fulmarclock.Millis `json:"fresh_idle"`
 	Digest        fulmarclock.Millis `json:"digest"`
-	VMList        fulmarclock.Millis `json:"vm_list"`
-	Lease         fulmarclock.Millis `json:"lease"`
-	PlatformCall  fulmarclock.Millis `json:"platform_call"`
-	StopNotReady  fulmarclock.Millis `json:"stop_not_ready"`
-	StopInFlight  fulmarclock.Millis `json:"stop_in_flight"`
-	ClaimKept     fulmarclock.Millis `json:"claim_kept"`
+	// Fence is how long a member without word from the platform and from every peer goes on sending work.
+	Fence        fulmarclock.Millis `json:"fence"`
+	VMList       fulmarclock.Millis `json:"vm_list"`
+	Lease        fulmarclock.Millis `json:"lease"`
+	PlatformCall fulmarclock.Millis `json:"platform_call"`
+	StopNotReady fulmarclock.Millis `json:"stop_not_ready"`
+	StopInFlight fulmarclock.Millis `json:"stop_in_flight"`
+	ClaimKept    fulmarclock.Millis `json:"claim_kept"`
 }
 
 // DefaultDaemon returns the settings that a file starts from.
@@ -88,12 +91,12 @@
 		Policy: PolicyLeastLoaded, Sharing: SharingDigests,
 		Limits: Limits{
 			HeaderBytes: 32 << 10, BodyBytes: 64 << 20, BufferedBody: 64 << 10, BufferedTotal: 24 << 20,
-			CallerRequests: 8192, RingEvents: 4096, ClaimsPerSecond: 40, WorkerConnection: 64,
+			CallerRequests: 8192, CallerConnections: 12288, RingEvents: 4096, ClaimsPerSecond: 40, WorkerConnection: 64,
 		},
 		Times: Times{
 			ReadHeader: 5 * fulmarclock.Second, ReadBody: 60 * fulmarclock.Second, WriteIdle: 30 * fulmarclock.Second,
 			ConnectWorker: fulmarclock.Second, Acknowledge: 3 * fulmarclock.Second, FreshIdle: 2 * fulmarclock.Second,
-			Digest: 250, VMList: fulmarclock.Second, Lease: 6 * fulmarclock.Second, PlatformCall: 2 * fulmarclock.Second,
+			Digest: 250, Fence: 3 * fulmarclock.Second, VMList: fulmarclock.Second, Lease: 6 * fulmarclock.Second, PlatformCall: 2 * fulmarclock.Second,
 			StopNotReady: 2 * fulmarclock.Second, StopInFlight: 10 * fulmarclock.Minute,
 			ClaimKept: 10 * fulmarclock.Minute,
 		},
@@ -155,6 +158,9 @@
 	if d.Times.Lease < 4*d.Times.Digest {
 		return refuse("times.lease", "must be at least four times times.digest")
 	}
+	if d.Times.Fence < 4*d.Times.Digest || d.Times.Fence < 2*d.Times.VMList {
+		return refuse("times.fence", "must be at least four times times.digest and twice times.vm_list")
+	}
 	return nil
 }
 
@@ -167,7 +173,8 @@
 	return []field[int64]{
 		{"limits.header_bytes", int64(l.HeaderBytes)}, {"limits.body_bytes", l.BodyBytes},
 		{"limits.buffered_body_bytes", l.BufferedBody}, {"limits.buffered_total_bytes", l.BufferedTotal},
-		{"limits.caller_requests", int64(l.CallerRequests)}, {"limits.ring_events", int64(l.RingEvents)},
+		{"limits.caller_requests", int64(l.CallerRequests)}, {"limits.caller_connections", int64(l.CallerConnections)},
+		{"limits.ring_events", int64(l.RingEvents)},
 		{"limits.claims_per_second", int64(l.ClaimsPerSecond)},
 		{"limits.worker_connections", int64(l.WorkerConnection)},
 	}
@@ -177,7 +184,7 @@
 	return []field[fulmarclock.Millis]{
 		{"times.read_header", t.ReadHeader}, {"times.read_body", t.ReadBody}, {"times.write_idle", t.WriteIdle},
 		{"times.connect_worker", t.ConnectWorker}, {"times.acknowledge", t.Acknowledge}, {"times.fresh_idle", t.FreshIdle},
-		{"times.digest", t.Digest}, {"times.vm_list", t.VMList}, {"times.lease", t.Lease},
+		{"times.digest", t.Digest}, {"times.fence", t.Fence}, {"times.vm_list", t.VMList}, {"times.lease", t.Lease},
 		{"times.platform_call", t.PlatformCall}, {"times.stop_not_ready", t.StopNotReady},
 		{"times.stop_in_flight", t.StopInFlight}, {"times.claim_kept", t.ClaimKept},
 	}
--- a/internal/fulmarsettings/decode_test.go
+++ b/internal/fulmarsettings/decode_test.go
@@ -30,6 +30,7 @@
 		{"negative size", "{\"limits\": {\n\"body_bytes\": -1}}", "limits.body_bytes", 2},
 		{"buffer above its total", "{\"limits\": {\n\n\"buffered_body_bytes\": 999999999}}", "limits.buffered_body_bytes", 3},
 		{"lease shorter than digests", "{\"times\": {\"digest\": 1000,\n\"lease\": 1000}}", "times.lease", 2},
+		{"fence shorter than the VM list's time", "{\"times\": {\n\"fence\": 1500}}", "times.fence", 2},
 		{"unknown policy", "{\n\"policy\": \"best\"}", "policy", 2},
 		{"unknown sharing", "{\n\"sharing\": \"none\"}", "sharing", 2},
 	}
--- a/pkg/fulmarapi/refusal.go
+++ b/pkg/fulmarapi/refusal.go
@@ -20,6 +20,7 @@
 	ReasonDeadlineTooSoon  Reason = "deadline-too-soon"
 	ReasonDeadlinePassed   Reason = "deadline-passed"
 	ReasonNoConfiguration  Reason = "no-configuration"
+	ReasonFenced           Reason = "fenced"
 	ReasonStopping         Reason = "stopping"
 	ReasonCallerGone       Reason = "caller-gone"
 	ReasonDuplicateKey     Reason = "duplicate-key"
@@ -37,7 +38,7 @@
 var Reasons = []Reason{
 	ReasonUnknownPool, ReasonBadHeader, ReasonBadMethod, ReasonUnknownTeam, ReasonBodyTooLarge,
 	ReasonBodyIncomplete, ReasonMemoryFull, ReasonQueueFull, ReasonTeamQueueFull, ReasonRingFull,
-	ReasonDeadlineTooSoon, ReasonDeadlinePassed, ReasonNoConfiguration, ReasonStopping,
+	ReasonDeadlineTooSoon, ReasonDeadlinePassed, ReasonNoConfiguration, ReasonFenced, ReasonStopping,
 	ReasonCallerGone, ReasonDuplicateKey, ReasonClaimsFull, ReasonClaimUnavailable, ReasonClaimExpired,
 	ReasonWorkerRefused, ReasonWorkerLost, ReasonWorkerTimeout, ReasonAnswerCut,
 	ReasonAnswerUnframed,
