Members exchange digests once a pair and rest without demand

As an answer carries a digest too, only the first of a pair by name now calls, the second only when the first is late, and without demand a member calls once a second.

Ruled out: the VM list (the same list answers "not modified") and the watch (about one call in two seconds at rest).

A pool's queue is no longer halved for callers without teams when the configuration names no teams.

--- a/internal/fulmarbench/main.go
+++ b/internal/fulmarbench/main.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -28,6 +27,9 @@
 	perRack     int
 	slots       int
 	connections int
+	members     int
+	changes     int
+	faults      bool
 	targets     string
 	pools       string
 	load        Load
@@ -82,7 +84,12 @@
 	load.Flag("seed", "Seed of the load.").Default("1").Uint64Var(&o.load.Seed)
 	demo := app.Command("demo", "Run platform, workers, three members and a burst in one process, with a live summary.")
 	demo.Flag("duration", "Length of the demonstration.").Default("15s").DurationVar(&o.load.Duration)
+	rollout := app.Command("rollout", "Measure how soon changes of the configuration are in force on every member of a local fleet.")
+	rollout.Flag("members", "Number of members.").Default("7").IntVar(&o.members)
+	rollout.Flag("changes", "Number of changes.").Default("100").IntVar(&o.changes)
+	rollout.Flag("faults", "Lose answers of the key-value service and slow it down meanwhile.").BoolVar(&o.faults)
 	return app, map[string]action{
+		rollout.FullCommand():  runRollout,
 		platform.FullCommand(): runPlatform, worker.FullCommand(): runWorkers,
 		load.FullCommand(): runLoad, demo.FullCommand(): runDemo,
 	}
@@ -151,5 +158,3 @@
 
 // CountCall does nothing.
 func (noCounter) CountCall(string) {}
-
-const demoSummary = time.Second
--- a/internal/fulmardaemon/plan.go
+++ b/internal/fulmardaemon/plan.go
@@ -18,9 +18,13 @@
 	members := max(1, len(view.Members()))
 	teams := teamBounds(document, members)
 	workers := workersByPool(view)
+	anyTeamShare := len(document.Teams) == 0
 	plans := make(map[string]fulmardispatch.PoolPlan, len(document.Pools))
 	for name := range document.Pools {
 		defaults := document.For(name)
+		if anyTeamShare {
+			defaults.TeamShare = 1
+		}
 		plans[name] = fulmardispatch.PoolPlan{
 			Settings: fulmardispatch.Settings{
 				Bounds:         fulmarqueue.Bounds{Requests: defaults.QueueRequests, TeamShare: defaults.TeamShare},
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -21,6 +21,8 @@
 const (
 	// digestStale is how old a peer's digest may be before its demand counts as none.
 	digestStale = 2 * fulmarclock.Second
+	// restRounds is how many digest intervals pass between messages while no pool has any demand.
+	restRounds = 4
 	// callDigests is how many digest intervals one call between members may take.
 	callDigests = 4
 	// neverHeard stands for a message that never came, in milliseconds.
@@ -85,8 +87,14 @@
 // Run sends digests until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
 	var calls sync.WaitGroup
-	for ctx.Err() == nil {
-		e.round(ctx, &calls)
+	hadDemand := false
+	for n := 0; ctx.Err() == nil; n++ {
+		digest := e.digest()
+		hasDemand := len(digest.GetPools()) > 0
+		if hasDemand || hadDemand || n%restRounds == 0 {
+			e.round(ctx, digest, &calls)
+		}
+		hadDemand = hasDemand
 		e.source.LearnLoads(e.demands())
 		select {
 		case <-e.clock.After(e.every):
@@ -187,12 +195,15 @@
 	return demands
 }
 
-// round sends the digest to every other member that is not still answering the last one.
-func (e *Exchange) round(ctx context.Context, calls *sync.WaitGroup) {
+// round sends the digest to the other members whose turn is this member's to
+// call, but for those that are still answering the last one.
+func (e *Exchange) round(ctx context.Context, digest *fulmarpeerpb.Digest, calls *sync.WaitGroup) {
 	others := e.fleet.View().Others(e.self.Name)
 	e.dropPeersBut(others)
-	digest := e.digest()
 	for _, member := range others {
+		if !e.isOwnTurn(member, len(digest.GetPools()) > 0) {
+			continue
+		}
 		p := e.claimPeer(member)
 		if p == nil {
 			continue
@@ -205,6 +216,20 @@
 	}
 }
 
+// isOwnTurn tells whether this member calls the other one. As an answer carries
+// a digest too, one call serves both: the first by name calls. The second calls
+// only when it has not heard from the first for longer than the first may wait.
+func (e *Exchange) isOwnTurn(member fulmarfleet.Member, hasDemand bool) bool {
+	if e.self.Name < member.Name {
+		return true
+	}
+	wait := restRounds * e.every
+	if hasDemand {
+		wait = e.every
+	}
+	return e.Age(member.Name) < 0 || e.Age(member.Name) >= wait
+}
+
 func (e *Exchange) call(ctx context.Context, p *peer, digest *fulmarpeerpb.Digest) {
 	defer e.releasePeer(p)
 	ctx, cancel := context.WithTimeout(ctx, (callDigests * e.every).Duration())
