A member's memory stays below 128 MB whatever callers send

Cause: a waiting request costs about 31 KB of resident memory (its connection's buffers and goroutines), so the former default of 8,192 open requests allowed some 280 MB.

Measured, one member, one worker of 8 slots, POSTs and GETs waiting, highest resident memory: 500 waiting 38.9 MB, 1,000 53.8, 2,000 80.8, 4,000 147.5.

Ruled out: smaller read buffers alone (net/http does not let them be set).

--- a/cmd/fulmardrumd/main.go
+++ b/cmd/fulmardrumd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -31,6 +32,7 @@
 	if level, err := log.ParseLevel(settings.LogLevel); err == nil {
 		logger.SetLevel(level)
 	}
+	debug.SetMemoryLimit(settings.Limits.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	daemon, err := fulmardaemon.Start(settings, fulmarclock.NewSystem(), logger)
--- a/internal/fulmarsettings/daemon.go
+++ b/internal/fulmarsettings/daemon.go
@@ -52,6 +52,8 @@
 
 // Limits bound what callers can make the daemon hold.
 type Limits struct {
+	// MemoryBytes is the size from which the process frees memory eagerly.
+	MemoryBytes       int64 `json:"memory_bytes"`
 	HeaderBytes       int   `json:"header_bytes"`
 	BodyBytes         int64 `json:"body_bytes"`
 	BufferedBody      int64 `json:"buffered_body_bytes"`
@@ -91,7 +93,7 @@
 		Policy: PolicyLeastLoaded, Sharing: SharingDigests,
 		Limits: Limits{
 			HeaderBytes: 32 << 10, BodyBytes: 64 << 20, BufferedBody: 64 << 10, BufferedTotal: 24 << 20,
-			CallerRequests: 8192, CallerConnections: 12288, RingEvents: 4096, ClaimsPerSecond: 40, WorkerConnection: 64,
+			CallerRequests: 2500, CallerConnections: 3500, MemoryBytes: 112 << 20, RingEvents: 4096, ClaimsPerSecond: 40, WorkerConnection: 64,
 		},
 		Times: Times{
 			ReadHeader: 5 * fulmarclock.Second, ReadBody: 60 * fulmarclock.Second, WriteIdle: 30 * fulmarclock.Second,
@@ -171,7 +173,7 @@
 
 func (l Limits) fields() []field[int64] {
 	return []field[int64]{
-		{"limits.header_bytes", int64(l.HeaderBytes)}, {"limits.body_bytes", l.BodyBytes},
+		{"limits.memory_bytes", l.MemoryBytes}, {"limits.header_bytes", int64(l.HeaderBytes)}, {"limits.body_bytes", l.BodyBytes},
 		{"limits.buffered_body_bytes", l.BufferedBody}, {"limits.buffered_total_bytes", l.BufferedTotal},
 		{"limits.caller_requests", int64(l.CallerRequests)}, {"limits.caller_connections", int64(l.CallerConnections)},
 		{"limits.ring_events", int64(l.RingEvents)},
