Without the platform only most of the members together go on, and they learn from one another

Cause: one peer's word was enough to go on without the platform, so two members cut off together would have sent work on an old view for ever. A member now needs most of the members that may be at work (those with a line, and those whose line ended without a planned stop within 10 minutes). A member that stops by plan marks its line as left. Members also hand one another the assignments, and to one that cannot reach the platform the VM list; a member that knows of newer assignments and cannot get them stops.

Weighed: the platform alone (every outage would stop all), any peer (the fault above), a word passed on about the platform's last answer (in an outage it would grow old for all alike).

--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -142,14 +142,20 @@
 	fulmarpeerpb.RegisterPeersServer(d.grpc, d.exchange)
 }
 
-// IsFenced tells whether this member has lost touch with the platform and with every other member.
+// IsFenced tells whether this member must not send work, as it may have missed a change.
 func (d *Daemon) IsFenced() bool {
+	now, limit := d.clock.Now(), d.settings.Times.Fence
 	return fulmarmember.IsFenced(fulmarmember.Contact{
-		Now: d.clock.Now(), Platform: d.platform.Answered(), Peer: d.exchange.LastHeard(),
-		Others: len(d.fleet.View().Others(d.self.Name)), Limit: d.settings.Times.Fence,
+		Now: now, Platform: d.platform.Answered(), Heard: d.exchange.Heard(limit),
+		Roster: d.fleet.View().Roster(now), BehindSince: d.exchange.BehindSince(), Limit: limit,
 	})
 }
 
+// IsCutOff tells whether the platform has not answered for the fence time.
+func (d *Daemon) IsCutOff() bool {
+	return d.clock.Now()-d.platform.Answered() > d.settings.Times.Fence
+}
+
 // newPolicy returns the policy of the settings, which were checked.
 func (d *Daemon) newPolicy() fulmardispatch.Policy {
 	if policy, known := fulmardispatch.PolicyByName(d.settings.Policy); known {
--- a/internal/fulmardaemon/network_test.go
+++ b/internal/fulmardaemon/network_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -79,13 +80,18 @@
 	}
 }
 
-func (l *lossyLink) close() {
+// cut ends every connection and takes no new ones.
+func (l *lossyLink) cut() {
 	_ = l.listener.Close()
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, conn := range l.open {
 		_ = conn.Close()
 	}
-	l.mu.Unlock()
+}
+
+func (l *lossyLink) close() {
+	l.cut()
 	l.tasks.Wait()
 }
 
@@ -171,15 +177,17 @@
 	}
 }
 
-// TestMemberCutOffFromAllStops silences the platform and then the other member:
-// two members that hear each other go on, one that hears nobody refuses.
-func TestMemberCutOffFromAllStops(t *testing.T) {
-	f := startFleet(qt.New(t), 2, 1)
+// TestMemberCutOffFromMostStops silences the platform and then one member after
+// the other: most of the members together go on, the last one refuses.
+func TestMemberCutOffFromMostStops(t *testing.T) {
+	f := startFleet(qt.New(t), 3, 1)
 	platformDown(f)
-	<-f.clock.After(1500)
-	together := f.send(context.Background(), ask{id: "together", method: post})
-	f.c.Assert(together.outcome, qt.Equals, fulmarapi.Answered, qt.Commentf("%s", together.reason))
-	f.members[1].close()
+	for gone := 2; gone >= 1; gone-- {
+		<-f.clock.After(1500) // beyond the fence time
+		r := f.send(context.Background(), ask{id: fmt.Sprintf("with-%d", gone), method: post})
+		f.c.Assert(r.outcome, qt.Equals, fulmarapi.Answered, qt.Commentf("%s", r.reason))
+		f.members[gone].close()
+	}
 	tries := 0
 	f.eventually("the member alone refuses", func() bool {
 		tries++
@@ -194,3 +202,23 @@
 		return f.send(context.Background(), ask{id: fmt.Sprintf("alone-%d", tries), method: post}).outcome == fulmarapi.Answered
 	})
 }
+
+// TestMemberCutFromThePlatformLearnsFromItsPeers cuts one member's way to the
+// platform; a new generation, assignment and VM reach it through the others.
+func TestMemberCutFromThePlatformLearnsFromItsPeers(t *testing.T) {
+	f := startFleet(qt.New(t), 2, 1)
+	link := startLink(f.c, strings.TrimPrefix(f.platform.URL(), "http://"))
+	settings := testSettings(2, "http://"+link.listener.Addr().String())
+	cut := f.addMember(settings)
+	f.eventually("three members", func() bool { return f.haveWorkers(1) })
+	link.cut()
+	f.addWorker("vm-new", 8)
+	f.apply(`{"pools": {"p": {"vms": 2}}}`)
+	f.eventually("the cut member has the new worker", func() bool {
+		status := cut.daemon.Status()
+		return status.Generation == 2 && len(status.Pools) == 1 && len(status.Pools[0].Workers) == 2
+	})
+	r := f.send(context.Background(), ask{id: "through the cut member", method: post, member: 2})
+	f.checkTruth([]reply{r})
+	f.c.Assert(r.outcome, qt.Equals, fulmarapi.Answered, qt.Commentf("%s", r.reason))
+}
--- a/internal/fulmarfleet/fleet.go
+++ b/internal/fulmarfleet/fleet.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarassign"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
@@ -52,7 +54,7 @@
 		platform: platform, clock: clock, logger: logger, failures: failures, pollVMs: pollVMs,
 		changed: make(chan struct{}, 1),
 	}
-	f.view.Store(&View{table: fulmarassign.Table{VMs: map[string]fulmarassign.Assignment{}}, members: map[string]Member{}})
+	f.view.Store(&View{table: fulmarassign.Table{VMs: map[string]fulmarassign.Assignment{}}, members: map[string]Member{}, lapsed: map[string]fulmarclock.Millis{}})
 	return f
 }
 
@@ -76,6 +78,28 @@
 	return newer
 }
 
+// LearnTable takes in the assignments at a revision from wherever they come.
+func (f *Fleet) LearnTable(value []byte, revision fulmarplatform.Revision) error {
+	var err error
+	f.update(func(next *View) bool {
+		before := next.tableRevision
+		err = next.applyTable(fulmarplatform.Entry{Value: value, Revision: revision})
+		return next.tableRevision > before
+	})
+	return err
+}
+
+// LearnVMs takes in a VM list from wherever it comes, if it is newer.
+func (f *Fleet) LearnVMs(list fulmarplatform.VMList) {
+	f.update(func(next *View) bool {
+		newer := list.Version > next.vms.Version
+		if newer {
+			next.vms = list
+		}
+		return newer
+	})
+}
+
 // Watch follows the keys of the fleet until ctx ends.
 func (f *Fleet) Watch(ctx context.Context) {
 	after := fulmarplatform.Revision(0)
@@ -117,13 +141,10 @@
 	f.update(func(next *View) bool {
 		next.platformSeen = f.clock.Now()
 		next.platformAnswered = true
-		members := make(map[string]Member, len(next.members))
-		for name, m := range next.members {
-			members[name] = m
-		}
-		next.members = members
+		next.members = maps.Clone(next.members)
+		next.lapsed = maps.Clone(next.lapsed)
 		for _, entry := range changes.Entries {
-			if err := next.apply(entry); err != nil {
+			if err := next.apply(entry, f.clock.Now()); err != nil {
 				f.logger.Error("a value of the key-value service cannot be read", "key", entry.Key, "error", err)
 			}
 		}
@@ -147,14 +168,14 @@
 	}
 }
 
-func (v *View) apply(entry fulmarplatform.Entry) error {
+func (v *View) apply(entry fulmarplatform.Entry, now fulmarclock.Millis) error {
 	switch {
 	case entry.Key == fulmarconfig.RecordKey && !entry.Deleted:
 		return v.applyRecord(entry.Value)
 	case entry.Key == fulmarassign.TableKey && !entry.Deleted:
 		return v.applyTable(entry)
 	case strings.HasPrefix(entry.Key, MembersPrefix):
-		return v.applyMember(entry)
+		return v.applyMember(entry, now)
 	}
 	return nil
 }
@@ -182,15 +203,23 @@
 	return nil
 }
 
-func (v *View) applyMember(entry fulmarplatform.Entry) error {
+func (v *View) applyMember(entry fulmarplatform.Entry, now fulmarclock.Millis) error {
 	name := strings.TrimPrefix(entry.Key, MembersPrefix)
 	if entry.Deleted {
+		if _, known := v.members[name]; known {
+			v.lapsed[name] = now
+		}
 		delete(v.members, name)
 		return nil
 	}
 	var member Member
 	if err := json.Unmarshal(entry.Value, &member); err != nil {
-		return err
+		return trace.Wrap(err)
+	}
+	delete(v.lapsed, name)
+	if member.Left {
+		delete(v.members, name)
+		return nil
 	}
 	v.members[name] = member
 	return nil
--- a/internal/fulmarfleet/view.go
+++ b/internal/fulmarfleet/view.go
@@ -25,6 +25,8 @@
 	Prefix = "fleet/"
 	// MembersPrefix is the prefix of the members' own keys.
 	MembersPrefix = "fleet/members/"
+	// lapsedKept is how long a member counts after its line has ended without a planned stop, in milliseconds.
+	lapsedKept = 10 * fulmarclock.Minute
 )
 
 // Member is one entry VM's line in the platform's key-value service.
@@ -35,14 +37,18 @@
 	DataCentre  string `json:"data_centre"`
 	Peers       string `json:"peers"`
 	Operators   string `json:"operators"`
+	// Left is set by a member on its planned way out.
+	Left bool `json:"left,omitempty"`
 }
 
 // View is one state of the fleet. It is not changed after it is made.
 type View struct {
-	record           fulmarconfig.Record
-	table            fulmarassign.Table
-	tableRevision    fulmarplatform.Revision
-	members          map[string]Member
+	record        fulmarconfig.Record
+	table         fulmarassign.Table
+	tableRevision fulmarplatform.Revision
+	members       map[string]Member
+	// lapsed are members whose line ended without a planned stop, with the time of its end.
+	lapsed           map[string]fulmarclock.Millis
 	vms              fulmarplatform.VMList
 	platformSeen     fulmarclock.Millis
 	platformAnswered bool
@@ -73,6 +79,18 @@
 	return members
 }
 
+// Roster returns how many members may be at work: those with a line, and those
+// whose line ended without a planned stop a short while ago.
+func (v *View) Roster(now fulmarclock.Millis) int {
+	n := len(v.members)
+	for _, at := range v.lapsed {
+		if now-at < lapsedKept {
+			n++
+		}
+	}
+	return n
+}
+
 // Others returns the members but the one with a name.
 func (v *View) Others(name string) []Member {
 	var others []Member
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -12,10 +11,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
-	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
 	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
 )
 
 const (
@@ -25,8 +24,6 @@
 	restRounds = 4
 	// callDigests is how many digest intervals one call between members may take.
 	callDigests = 4
-	// neverHeard stands for a message that never came, in milliseconds.
-	neverHeard = fulmarclock.Millis(math.MinInt32)
 	// keepAlive is the time between pings on a silent connection between members.
 	keepAlive = 10 * fulmarclock.Second
 	// keepAliveTimeout is how long a ping may stay unanswered.
@@ -41,6 +38,8 @@
 	LearnLoads(demands map[string][]fulmardispatch.Demand)
 	// Stopping tells whether this member is on its way out.
 	Stopping() bool
+	// IsCutOff tells whether the platform has not answered this member for some time.
+	IsCutOff() bool
 }
 
 // Counters count the messages between members.
@@ -63,6 +62,9 @@
 	mu      sync.Mutex
 	digests map[string]seenDigest
 	peers   map[string]*peer
+	// told is the newest revision of the assignments that a peer has told of.
+	told   fulmarplatform.Revision
+	behind fulmarclock.Millis
 }
 
 type seenDigest struct {
@@ -123,18 +125,28 @@
 	return e.digests[name].digest.GetGeneration()
 }
 
-// LastHeard returns the time of the last message of any other member, or a
-// time far back when there was none.
-func (e *Exchange) LastHeard() fulmarclock.Millis {
+// Heard returns how many other members this one has heard from within a time.
+func (e *Exchange) Heard(within fulmarclock.Millis) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	last := neverHeard
+	n := 0
 	for name, seen := range e.digests {
-		if name != e.self.Name {
-			last = max(last, seen.at)
+		if name != e.self.Name && e.clock.Now()-seen.at <= within {
+			n++
 		}
 	}
-	return last
+	return n
+}
+
+// BehindSince returns when a peer first told of assignments that are newer than
+// this member's, or zero when none has.
+func (e *Exchange) BehindSince() fulmarclock.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, revision := e.fleet.View().Table(); e.told <= revision {
+		e.behind = 0
+	}
+	return e.behind
 }
 
 // Exchange answers a peer's digest with this member's own.
@@ -147,20 +159,17 @@
 	return own, nil
 }
 
-// Configuration answers with the record in force if it is newer than the peer's.
-func (e *Exchange) Configuration(_ context.Context, request *fulmarpeerpb.ConfigurationRequest) (*fulmarpeerpb.ConfigurationReply, error) {
-	record := e.fleet.View().Record()
-	if record.Generation <= request.GetAfter() {
-		return &fulmarpeerpb.ConfigurationReply{}, nil
-	}
-	data, err := record.Encode()
-	return &fulmarpeerpb.ConfigurationReply{Record: data}, err
+// State answers with what is newer here than at the peer.
+func (e *Exchange) State(_ context.Context, request *fulmarpeerpb.StateRequest) (*fulmarpeerpb.StateReply, error) {
+	return stateSince(e.fleet.View(), request)
 }
 
 func (e *Exchange) digest() *fulmarpeerpb.Digest {
+	view := e.fleet.View()
+	_, revision := view.Table()
 	digest := &fulmarpeerpb.Digest{
 		Member: e.self.Name, Incarnation: e.self.Incarnation,
-		Generation: e.fleet.View().Record().Generation, Stopping: e.source.Stopping(),
+		Generation: view.Record().Generation, TableRevision: int64(revision), Stopping: e.source.Stopping(),
 	}
 	for pool, demand := range e.source.Loads() {
 		digest.Pools = append(digest.Pools, &fulmarpeerpb.PoolLoad{Pool: pool, Demand: uint32(demand)})
@@ -171,7 +180,17 @@
 func (e *Exchange) keep(digest *fulmarpeerpb.Digest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.digests[digest.GetMember()] = seenDigest{digest: digest, at: e.clock.Now()}
+	now := e.clock.Now()
+	e.digests[digest.GetMember()] = seenDigest{digest: digest, at: now}
+	told := fulmarplatform.Revision(digest.GetTableRevision())
+	_, revision := e.fleet.View().Table()
+	if e.told <= revision {
+		e.behind = 0
+	}
+	e.told = max(e.told, told)
+	if told > revision && e.behind == 0 {
+		e.behind = max(now, 1)
+	}
 }
 
 // demands returns the fresh demands of the other members by pool.
@@ -243,24 +262,24 @@
 	}
 	e.counters.PeerBytes("in", proto.Size(reply))
 	e.keep(reply)
-	if reply.GetGeneration() > e.fleet.View().Record().Generation {
-		e.fetchRecord(ctx, p)
+	if isNewer(reply, e.fleet.View()) || e.isCutOff() {
+		e.fetchState(ctx, p)
 	}
 }
 
-// fetchRecord learns a newer configuration from a peer, such as in an outage of the key-value service.
-func (e *Exchange) fetchRecord(ctx context.Context, p *peer) {
-	request := &fulmarpeerpb.ConfigurationRequest{After: e.fleet.View().Record().Generation}
-	reply, err := p.client.Configuration(ctx, request)
-	if err != nil || len(reply.GetRecord()) == 0 {
-		return
-	}
-	record, err := fulmarconfig.DecodeRecord(reply.GetRecord())
+// isCutOff tells whether this member sees nothing of the platform by itself.
+func (e *Exchange) isCutOff() bool { return e.source.IsCutOff() }
+
+// fetchState learns from a peer what this member has not seen by itself.
+func (e *Exchange) fetchState(ctx context.Context, p *peer) {
+	reply, err := p.client.State(ctx, stateRequest(e.fleet.View(), e.isCutOff()))
 	if err != nil {
-		e.logger.Error("a peer's configuration record cannot be read", "error", err)
+		e.counters.PeerMessage("failed")
 		return
 	}
-	e.fleet.LearnRecord(record)
+	if err := learnState(e.fleet, reply); err != nil {
+		e.logger.Error("a peer's state cannot be read", "error", err)
+	}
 }
 
 func (e *Exchange) claimPeer(member fulmarfleet.Member) *peer {
--- a/internal/fulmarmember/fence.go
+++ b/internal/fulmarmember/fence.go
@@ -5,23 +5,31 @@
 // Contact is a member's last word from the rest of the fleet.
 type Contact struct {
 	Now fulmarclock.Millis
-	// Platform and Peer are the times of the last answer of the platform and of any other member.
+	// Platform is the time of the platform's last answer.
 	Platform fulmarclock.Millis
-	Peer     fulmarclock.Millis
-	// Others is the number of other members last known.
-	Others int
-	// Limit is how long a member goes on without word from either.
+	// Heard counts the other members heard from within Limit.
+	Heard int
+	// Roster counts the members that may be at work, this one among them.
+	Roster int
+	// BehindSince is when a peer first told of assignments newer than this member's; zero means never.
+	BehindSince fulmarclock.Millis
+	// Limit is how long a member goes on without word.
 	Limit fulmarclock.Millis
 }
 
-// IsFenced tells whether a member must stop sending work. When the platform is
-// silent to everyone, nothing can move, and the members that still hear one
-// another go on with their last view. A member that hears neither the platform
-// nor any of its peers cannot tell that case from being cut off, so it stops;
-// one that knows of no peers goes on.
+// IsFenced tells whether a member must stop sending work.
+//
+// With the platform's answers a member sees every change by itself. Without
+// them it cannot tell an outage from a cut of its own, and goes on only together
+// with most of the members that may be at work: a change of the assignments
+// needs the word of most of them too, so one of those that it hears knows of it,
+// and tells. A member that knows of newer assignments and cannot get them stops.
 func IsFenced(c Contact) bool {
-	if c.Others == 0 || c.Now-c.Platform <= c.Limit {
+	if c.BehindSince > 0 && c.Now-c.BehindSince > c.Limit {
+		return true
+	}
+	if c.Now-c.Platform <= c.Limit {
 		return false
 	}
-	return c.Now-c.Peer > c.Limit
+	return 2*(c.Heard+1) <= c.Roster
 }
--- a/internal/fulmarmember/membership.go
+++ b/internal/fulmarmember/membership.go
@@ -30,7 +30,6 @@
 	fulmarplatform.Store
 	Grant(ctx context.Context, ttl fulmarclock.Millis) (fulmarplatform.LeaseID, error)
 	Renew(ctx context.Context, lease fulmarplatform.LeaseID) error
-	Revoke(ctx context.Context, lease fulmarplatform.LeaseID) error
 }
 
 // FailureCounter counts failed calls to the platform.
@@ -85,26 +84,15 @@
 // announce writes the member's line under a new lease. A line of the same name
 // belongs to the VM that this one replaces.
 func (m *Membership) announce(ctx context.Context) error {
-	value, err := json.Marshal(m.self)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	lease, err := m.leases.Grant(ctx, m.ttl)
 	if err != nil {
 		return err
 	}
-	key := fulmarfleet.MembersPrefix + m.self.Name
-	current, err := m.leases.Get(ctx, key)
-	if err != nil {
+	if err := m.write(ctx, lease, m.isOwn); err != nil {
 		return err
 	}
-	_, err = fulmarplatform.SwapSettled(ctx, m.clock, m.leases, fulmarplatform.Swap{
-		Key: key, Expected: current.Revision, Value: value, Lease: lease, Included: m.isOwn,
-	})
-	if err == nil {
-		m.lease = lease
-	}
-	return err
+	m.lease = lease
+	return nil
 }
 
 func (m *Membership) isOwn(stored []byte) bool {
@@ -112,13 +100,38 @@
 	return json.Unmarshal(stored, &member) == nil && member.Incarnation == m.self.Incarnation
 }
 
+// leave marks the member's line, so that the others need not wait for it, and
+// lets the lease end by itself: a line removed at once could not be told from a failure.
 func (m *Membership) leave() {
 	if m.lease == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), m.ttl.Duration())
 	defer cancel()
-	if err := m.leases.Revoke(ctx, m.lease); err != nil {
+	m.self.Left = true
+	if err := m.write(ctx, m.lease, m.hasLeft); err != nil {
 		m.failures.PlatformFailure("leave")
 	}
 }
+
+// write replaces the member's line under a lease.
+func (m *Membership) write(ctx context.Context, lease fulmarplatform.LeaseID, included func(stored []byte) bool) error {
+	value, err := json.Marshal(m.self)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	key := fulmarfleet.MembersPrefix + m.self.Name
+	current, err := m.leases.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	_, err = fulmarplatform.SwapSettled(ctx, m.clock, m.leases, fulmarplatform.Swap{
+		Key: key, Expected: current.Revision, Value: value, Lease: lease, Included: included,
+	})
+	return err
+}
+
+func (m *Membership) hasLeft(stored []byte) bool {
+	var member fulmarfleet.Member
+	return json.Unmarshal(stored, &member) == nil && member.Incarnation == m.self.Incarnation && member.Left
+}
--- /dev/null
+++ b/internal/fulmarmember/state.go
@@ -0,0 +1,74 @@
+package fulmarmember
+
+import (
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
+)
+
+// isNewer tells whether a peer follows something newer than a view shows.
+func isNewer(digest *fulmarpeerpb.Digest, view *fulmarfleet.View) bool {
+	_, revision := view.Table()
+	return digest.GetGeneration() > view.Record().Generation || digest.GetTableRevision() > int64(revision)
+}
+
+// stateRequest tells a peer what a view shows.
+func stateRequest(view *fulmarfleet.View, wantsVMs bool) *fulmarpeerpb.StateRequest {
+	_, revision := view.Table()
+	return &fulmarpeerpb.StateRequest{
+		Generation: view.Record().Generation, TableRevision: int64(revision),
+		VmsVersion: view.VMs().Version, WantsVms: wantsVMs,
+	}
+}
+
+// stateSince returns what a view shows that is newer than what a request tells.
+func stateSince(view *fulmarfleet.View, request *fulmarpeerpb.StateRequest) (*fulmarpeerpb.StateReply, error) {
+	reply := &fulmarpeerpb.StateReply{}
+	var err error
+	if view.Record().Generation > request.GetGeneration() {
+		if reply.Record, err = view.Record().Encode(); err != nil {
+			return nil, err
+		}
+	}
+	if table, revision := view.Table(); int64(revision) > request.GetTableRevision() {
+		reply.TableRevision = int64(revision)
+		if reply.Table, err = table.Encode(); err != nil {
+			return nil, err
+		}
+	}
+	if request.GetWantsVms() && view.VMs().Version > request.GetVmsVersion() {
+		if reply.Vms, err = json.Marshal(view.VMs()); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return reply, nil
+}
+
+// learnState takes a peer's reply into a fleet's view.
+func learnState(fleet *fulmarfleet.Fleet, reply *fulmarpeerpb.StateReply) error {
+	if len(reply.GetRecord()) > 0 {
+		record, err := fulmarconfig.DecodeRecord(reply.GetRecord())
+		if err != nil {
+			return err
+		}
+		fleet.LearnRecord(record)
+	}
+	if len(reply.GetTable()) > 0 {
+		if err := fleet.LearnTable(reply.GetTable(), fulmarplatform.Revision(reply.GetTableRevision())); err != nil {
+			return err
+		}
+	}
+	if len(reply.GetVms()) > 0 {
+		var list fulmarplatform.VMList
+		if err := json.Unmarshal(reply.GetVms(), &list); err != nil {
+			return trace.Wrap(err)
+		}
+		fleet.LearnVMs(list)
+	}
+	return nil
+}
