VMs move between pools in fenced steps

Cause: a pool's VMs could not be given to another pool, and a removed pool kept its VMs out of use for ever. Planning also ran in the goroutine that applies the view, and waited there for lost answers, so that the planner's own schedulers would not have followed what peers told in an outage; it has its own duty now.

A move is a mark in the assignments: every member stops sending the VM work and says in its digests which sequence its schedulers follow and on which moving VMs it still has requests. When every live member has left the VM, and most of those that may be at work have said so with three fence times passed for the silent ones, the platform drains and reboots it, and a last write gives it to its next pool under a new epoch. All state is in the assignments and the VM list, so any member goes on where another stopped.

Weighed: acknowledgements in the key-value service (7 writes a move and sequence), waiting for leases alone (a member that hears peers outlives its lease).

Proof: VMs move under the load of 24 callers, with the planner cut off from the platform after the mark, the drain, the reboot and the first arrival; on the workers' side no two pools' requests overlap on a VM and no epoch goes back; every request is answered.

TestAssignmentsOutliveTheList now allows the mark of a move, which the planner did not make before; pool and epoch must stay as they were.

--- a/internal/fulmarassign/table.go
+++ b/internal/fulmarassign/table.go
@@ -28,12 +28,23 @@
 	Pool string `json:"pool"`
 	// Epoch is unique to this assignment and above that of every earlier one.
 	Epoch int64 `json:"epoch"`
+	// Next is the pool that the VM moves to; while it is set, the VM gets no new work.
+	Next string `json:"next,omitempty"`
+	// Since is the table's sequence from which the VM moves.
+	Since int64 `json:"since,omitempty"`
+	// Boots is the VM's number of boots at the start of the move.
+	Boots int64 `json:"boots,omitempty"`
 }
 
+// IsMoving tells whether the VM is on its way to another pool.
+func (a Assignment) IsMoving() bool { return a.Next != "" }
+
 // Table is the assignment of every VM.
 type Table struct {
 	// WriteID is unique to the write that made this table.
 	WriteID string `json:"write_id"`
+	// Sequence counts the tables, one up with each write.
+	Sequence int64 `json:"sequence"`
 	// Epoch is the highest epoch given so far.
 	Epoch int64                 `json:"epoch"`
 	VMs   map[string]Assignment `json:"vms"`
@@ -60,12 +71,13 @@
 // vanishedKept is the number of VMs that have left the list whose pool is remembered.
 const vanishedKept = 1000
 
-// Plan gives each live VM without a pool to the pool that lacks the most VMs.
-// It moves no VM: one that comes back to the list, or whose pool was removed,
+// Plan gives each live VM without a pool to the pool that lacks the most VMs,
+// and begins moves from pools with too many VMs to those that still lack some.
+// Nothing else changes a pool: a VM that comes back to the list, or whose pool was removed,
 // keeps its assignment, as requests of that pool may still run on it.
 func Plan(table Table, vms []fulmarplatform.VM, document fulmarconfig.Document) (next Table, changed bool) {
 	p := planner{
-		next:  Table{Epoch: table.Epoch, VMs: make(map[string]Assignment, len(table.VMs))},
+		next:  Table{Sequence: table.Sequence + 1, Epoch: table.Epoch, VMs: make(map[string]Assignment, len(table.VMs))},
 		lacks: map[string]int{},
 	}
 	for name, pool := range document.Pools {
@@ -73,6 +85,7 @@
 	}
 	p.keep(table, vms)
 	p.assign(vms)
+	p.beginMoves(vms)
 	p.forgetOldest(vms)
 	return p.next, p.changed
 }
@@ -80,6 +93,7 @@
 type planner struct {
 	next    Table
 	lacks   map[string]int
+	moving  int
 	changed bool
 }
 
@@ -88,7 +102,13 @@
 		p.next.VMs[id] = assignment
 	}
 	for _, vm := range vms {
-		if assignment, assigned := table.VMs[vm.ID]; assigned {
+		assignment, assigned := table.VMs[vm.ID]
+		switch {
+		case !assigned:
+		case assignment.IsMoving():
+			p.lacks[assignment.Next]--
+			p.moving++
+		default:
 			p.lacks[assignment.Pool]--
 		}
 	}
--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -16,6 +16,8 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,6 +35,7 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarmember"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarmetrics"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmove"
 	"github.com/fulmardrum/fulmardrum/internal/fulmaroperator"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarplatform"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarsettings"
@@ -43,6 +46,9 @@
 	callerIdle   = 60 * time.Second
 	pingLeast    = 5 * time.Second
 	housekeeping = 5 * fulmarclock.Second
+	// planRounds is how many planning rounds fit between two looks at the VM list.
+	planRounds = 2
+	planLimit  = 5 * fulmarclock.Second
 )
 
 // Daemon is one member.
@@ -61,6 +67,9 @@
 	transport  *fulmardispatch.Transport
 	pools      *fulmardispatch.Pools
 	entry      *fulmarentry.Entry
+	mover      *fulmarmove.Mover
+	// applied is the sequence of the assignments that the schedulers follow.
+	applied atomic.Int64
 
 	callers   *listening
 	operators *listening
@@ -125,6 +134,10 @@
 		Clock: d.clock, Schedulers: d.pools, Configuration: d, Sender: d.transport, Claimer: d.claimer,
 		Counters: d.metrics, Fence: d, Limits: limits, Times: times,
 	})
+	d.mover = fulmarmove.NewMover(fulmarmove.Options{
+		Clock: d.clock, Platform: d.platform, Fleet: d.fleet, Members: d.exchange, Failures: d.metrics,
+		Logger: d.logger, Self: d.self.Name, SelfHasLeft: d.hasLeft, Fence: times.Fence,
+	})
 	d.callers.limit(limits.CallerConnections)
 	d.callers.serve(&http.Server{
 		Handler: d.entry, MaxHeaderBytes: limits.HeaderBytes,
@@ -207,10 +220,56 @@
 			return
 		}
 		d.applyView()
-		d.fleet.AssignOnce(ctx, d.platform, d.self.Name)
 	}
 }
 
+// plan assigns VMs and takes moves further, on the member that plans, until ctx ends.
+func (d *Daemon) plan(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.planOnce(ctx)
+		select {
+		case <-d.clock.After(d.settings.Times.VMList / planRounds):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *Daemon) planOnce(ctx context.Context) {
+	if !d.fleet.View().IsPlanner(d.self.Name) || d.IsCutOff() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, planLimit.Duration())
+	defer cancel()
+	d.fleet.AssignOnce(ctx, d.platform, d.self.Name)
+	d.mover.Step(ctx)
+}
+
+// Applied returns the sequence of the assignments that the schedulers follow,
+// and the moving VMs on which this member still has requests.
+func (d *Daemon) Applied() (sequence int64, busyVMs []string) {
+	sequence = d.applied.Load()
+	table, _ := d.fleet.View().Table()
+	moving := table.Moving()
+	if len(moving) == 0 {
+		return sequence, nil
+	}
+	for _, report := range d.pools.Reports() {
+		for _, w := range report.Workers {
+			if w.Running > 0 && slices.Contains(moving, w.VM) {
+				busyVMs = append(busyVMs, w.VM)
+			}
+		}
+	}
+	return sequence, busyVMs
+}
+
+// hasLeft tells whether this member's schedulers follow the assignments of a
+// sequence and have no request left on a VM.
+func (d *Daemon) hasLeft(vm string, sequence int64) bool {
+	applied, busyVMs := d.Applied()
+	return applied >= sequence && !slices.Contains(busyVMs, vm)
+}
+
 func (d *Daemon) applyView() {
 	view := d.fleet.View()
 	if view.Record().Generation == 0 {
@@ -222,6 +281,8 @@
 		addresses[vm.Address] = true
 	}
 	d.transport.Keep(addresses)
+	table, _ := view.Table()
+	d.applied.Store(table.Sequence)
 }
 
 func (d *Daemon) closeListeners() {
--- a/internal/fulmardaemon/plan.go
+++ b/internal/fulmardaemon/plan.go
@@ -39,9 +39,25 @@
 			},
 		}
 	}
+	for name, assigned := range workers {
+		if _, planned := plans[name]; !planned {
+			plans[name] = retiredPlan(assigned)
+		}
+	}
 	return plans
 }
 
+// retiredPlan keeps the scheduler of a removed pool while VMs are still
+// assigned to it, so that its last requests are known.
+func retiredPlan(assigned []fulmardispatch.Assigned) fulmardispatch.PoolPlan {
+	view := fulmardispatch.View{Members: 1}
+	for _, a := range assigned {
+		a.Leaving = true
+		view.Workers = append(view.Workers, a)
+	}
+	return fulmardispatch.PoolPlan{Settings: fulmardispatch.Settings{Retired: true}, View: view}
+}
+
 // teamBounds splits each team's quota evenly among the members, rounded up.
 func teamBounds(document fulmarconfig.Document, members int) map[string]fulmarqueue.TeamBounds {
 	bounds := make(map[string]fulmarqueue.TeamBounds, len(document.Teams))
@@ -64,7 +80,7 @@
 			Target: fulmardispatch.Target{
 				VM: vm.ID, Address: vm.Address, Pool: assignment.Pool, Epoch: assignment.Epoch,
 			},
-			Slots: vm.Slots, Leaving: vm.State == fulmarplatform.VMLeaving,
+			Slots: vm.Slots, Leaving: vm.State == fulmarplatform.VMLeaving || assignment.IsMoving(),
 		})
 	}
 	return workers
--- a/internal/fulmardaemon/run.go
+++ b/internal/fulmardaemon/run.go
@@ -16,6 +16,7 @@
 	d.addDuty(&group, d.membership.Keep)
 	d.addDuty(&group, d.exchange.Run)
 	d.addDuty(&group, d.follow)
+	d.addDuty(&group, d.plan)
 	group.Add(d.callers.run, func(error) { d.callers.close() })
 	group.Add(d.operators.run, func(error) { d.operators.close() })
 	group.Add(func() error { return d.grpc.Serve(d.peers) }, func(error) { d.grpc.Stop() })
--- a/internal/fulmardispatch/event.go
+++ b/internal/fulmardispatch/event.go
@@ -101,7 +101,13 @@
 
 type settingsEvent struct{ settings *Settings }
 
-func (e settingsEvent) apply(s *Scheduler) { s.follow(*e.settings) }
+func (e settingsEvent) apply(s *Scheduler) {
+	s.follow(*e.settings)
+	s.stopped = nil
+	if e.settings.Retired {
+		stopEvent{fulmarapi.NewRefusal(fulmarapi.ReasonUnknownPool, "the pool was removed")}.apply(s)
+	}
+}
 
 type peersEvent struct{ demands *[]Demand }
 
--- a/internal/fulmardispatch/scheduler.go
+++ b/internal/fulmardispatch/scheduler.go
@@ -44,6 +44,8 @@
 	Teams          map[string]fulmarqueue.TeamBounds
 	AvailableShare float64
 	RetryShare     float64
+	// Retired refuses all requests; the pool stays until its VMs have moved.
+	Retired bool
 }
 
 // View is the pool as the fleet's view shows it.
--- a/internal/fulmarfleet/assigner.go
+++ b/internal/fulmarfleet/assigner.go
@@ -16,9 +16,7 @@
 // write, and only the first member by name tries, so that members rarely race.
 func (f *Fleet) AssignOnce(ctx context.Context, store fulmarplatform.Store, self string) {
 	view := f.View()
-	members := view.Members()
-	isFirst := len(members) > 0 && members[0].Name == self
-	if !isFirst || view.record.Generation == 0 || view.vms.Version == 0 {
+	if !view.IsPlanner(self) || view.record.Generation == 0 || view.vms.Version == 0 {
 		return
 	}
 	next, changed := fulmarassign.Plan(view.table, view.vms.VMs, view.record.Document)
@@ -26,20 +24,31 @@
 		return
 	}
 	next.WriteID = uuid.NewString()
-	value, err := next.Encode()
-	if err != nil {
-		f.logger.Error("the assignments cannot be encoded", "error", err)
-		return
+	if err := f.CommitTable(ctx, store, next, view.tableRevision); err != nil {
+		f.failures.PlatformFailure("assign")
 	}
-	swap := fulmarplatform.Swap{
-		Key: fulmarassign.TableKey, Expected: view.tableRevision, Value: value,
-		Included: func(stored []byte) bool { return hasWriteID(stored, next.WriteID) },
+}
+
+// CommitTable writes the assignments if they are still at a revision, and takes
+// them into the view. Another member's write in between is no error: the next
+// round sees it.
+func (f *Fleet) CommitTable(ctx context.Context, store fulmarplatform.Store, table fulmarassign.Table, revision fulmarplatform.Revision) error {
+	value, err := table.Encode()
+	if err != nil {
+		return err
 	}
-	_, err = fulmarplatform.SwapSettled(ctx, f.clock, store, swap)
+	entry, err := fulmarplatform.SwapSettled(ctx, f.clock, store, fulmarplatform.Swap{
+		Key: fulmarassign.TableKey, Expected: revision, Value: value,
+		Included: func(stored []byte) bool { return hasWriteID(stored, table.WriteID) },
+	})
 	var conflict *fulmarplatform.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		f.failures.PlatformFailure("assign")
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	if err != nil {
+		return err
 	}
+	return f.LearnTable(entry.Value, entry.Revision)
 }
 
 func hasWriteID(stored []byte, id string) bool {
--- a/internal/fulmarfleet/view.go
+++ b/internal/fulmarfleet/view.go
@@ -79,6 +79,13 @@
 	return members
 }
 
+// IsPlanner tells whether a member is the first by name, which plans. Two members
+// may think so at once; their writes are fenced by revisions.
+func (v *View) IsPlanner(name string) bool {
+	members := v.Members()
+	return len(members) > 0 && members[0].Name == name
+}
+
 // Roster returns how many members may be at work: those with a line, and those
 // whose line ended without a planned stop a short while ago.
 func (v *View) Roster(now fulmarclock.Millis) int {
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/charmbracelet/log"
@@ -38,6 +39,9 @@
 	LearnLoads(demands map[string][]fulmardispatch.Demand)
 	// Stopping tells whether this member is on its way out.
 	Stopping() bool
+	// Applied returns the sequence of the assignments that this member's
+	// schedulers follow, and the moving VMs on which it still has requests.
+	Applied() (sequence int64, busyVMs []string)
 	// IsCutOff tells whether the platform has not answered this member for some time.
 	IsCutOff() bool
 }
@@ -138,6 +142,18 @@
 	return n
 }
 
+// HasLeft tells whether a member has lately said that its schedulers follow the
+// assignments of a sequence and that it has no request left on a VM.
+func (e *Exchange) HasLeft(name, vm string, sequence int64, within fulmarclock.Millis) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seen, known := e.digests[name]
+	if !known || e.clock.Now()-seen.at > within {
+		return false
+	}
+	return seen.digest.GetAppliedSequence() >= sequence && !slices.Contains(seen.digest.GetBusyVms(), vm)
+}
+
 // BehindSince returns when a peer first told of assignments that are newer than
 // this member's, or zero when none has.
 func (e *Exchange) BehindSince() fulmarclock.Millis {
@@ -167,7 +183,9 @@
 func (e *Exchange) digest() *fulmarpeerpb.Digest {
 	view := e.fleet.View()
 	_, revision := view.Table()
+	sequence, busyVMs := e.source.Applied()
 	digest := &fulmarpeerpb.Digest{
+		AppliedSequence: sequence, BusyVms: busyVMs,
 		Member: e.self.Name, Incarnation: e.self.Incarnation,
 		Generation: view.Record().Generation, TableRevision: int64(revision), Stopping: e.source.Stopping(),
 	}
--- a/internal/fulmarplatform/platform.go
+++ b/internal/fulmarplatform/platform.go
@@ -54,6 +54,8 @@
 	Rack       string  `json:"rack"`
 	Slots      int     `json:"slots"`
 	State      VMState `json:"state"`
+	// Boots counts the VM's boots.
+	Boots int64 `json:"boots"`
 }
 
 // VMList is the platform's list at one version.
--- a/internal/fulmarstandin/fleet.go
+++ b/internal/fulmarstandin/fleet.go
@@ -39,7 +39,7 @@
 		f.vms[vm.ID] = listed
 		vm.State = fulmarplatform.VMLive
 	} else {
-		vm.State = listed.vm.State
+		vm.State, vm.Boots = listed.vm.State, listed.vm.Boots
 	}
 	if listed.vm != vm {
 		f.version++
@@ -61,6 +61,20 @@
 	return true
 }
 
+// Reboot brings a leaving VM back with one more boot, and tells whether it was leaving.
+func (f *Fleet) Reboot(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed, known := f.vms[id]
+	if !known || listed.vm.State != fulmarplatform.VMLeaving {
+		return false
+	}
+	listed.vm.State = fulmarplatform.VMLive
+	listed.vm.Boots++
+	f.version++
+	return true
+}
+
 // List returns the list in order of VM.
 func (f *Fleet) List() fulmarplatform.VMList {
 	f.mu.Lock()
--- a/internal/fulmarstandin/journal.go
+++ b/internal/fulmarstandin/journal.go
@@ -13,20 +13,37 @@
 	Key       string `json:"key,omitempty"`
 	Method    string `json:"method"`
 	Pool      string `json:"pool"`
+	Epoch     string `json:"epoch"`
 	StartUnix int64  `json:"start_unix_ms"`
+	// Begin and End order the starts and ends of all runs of a journal; End is zero while the request runs.
+	Begin int64 `json:"begin"`
+	End   int64 `json:"end"`
 }
 
 // Journal lists the runs of one worker or of several.
 type Journal struct {
 	mu   sync.Mutex
 	runs []Run
+	// steps counts the starts and ends so far.
+	steps int64
 }
 
-// Add appends a run.
-func (j *Journal) Add(run Run) {
+// Add appends a run that starts now and returns what to call at its end.
+func (j *Journal) Add(run Run) (end func()) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.steps++
+	run.Begin = j.steps
 	j.runs = append(j.runs, run)
+	place := len(j.runs) - 1
+	return func() { j.end(place) }
+}
+
+func (j *Journal) end(place int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.steps++
+	j.runs[place].End = j.steps
 }
 
 // Runs returns a copy of the list.
--- a/internal/fulmarstandin/worker.go
+++ b/internal/fulmarstandin/worker.go
@@ -207,11 +207,11 @@
 	case FaultCutBefore:
 		panic(http.ErrAbortHandler)
 	}
-	w.options.Journal.Add(Run{
+	defer w.options.Journal.Add(Run{
 		Worker: w.options.VM.ID, RequestID: r.Header.Get(HeaderRequestID), Method: r.Method,
 		Key: r.Header.Get(fulmarapi.HeaderIdempotencyKey), Pool: r.Header.Get(fulmarapi.HeaderPool),
-		StartUnix: w.clock.Unix(),
-	})
+		Epoch: r.Header.Get(fulmarapi.HeaderEpoch), StartUnix: w.clock.Unix(),
+	})()
 	if fault == FaultFail {
 		http.Error(rw, "task failed", http.StatusInternalServerError)
 		return
