--- a/internal/fulmardaemon/move_test.go
+++ b/internal/fulmardaemon/move_test.go
@@ -96,7 +96,7 @@
 				}
 				r := f.sendTo([]string{"p", "q"}[place%2], ask{
 					id: fmt.Sprintf("%d-%d", place, i), method: post, member: (place / 2) % len(f.members),
-					query: fmt.Sprintf("work=%d", workOf(i + 3*place)), timeout: patient,
+					query: fmt.Sprintf("work=%d", workOf(i+3*place)), timeout: patient,
 				})
 				mu.Lock()
 				replies = append(replies, r)
