VMs that vanish from the list are used for 15 s more

Cause, found by measuring an outage of the platform: VMs could not report during the 10 s, so the first list after it was empty, every member dropped all its workers at once, and requests waited until the VMs had reported again.

Ruled out: the lapsed leases of the members (the shares had no part in it: no pool was contended) and the connections (they were kept).

A VM that is gone refuses connections and is out of use after the first one; one that was leaving, or whose address another VM has, is dropped at once.

--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -180,6 +180,9 @@
 // Record returns the configuration in force.
 func (d *Daemon) Record() fulmarconfig.Record { return d.fleet.View().Record() }
 
+// ListedVMs returns the number of VMs in the platform's list as last seen.
+func (d *Daemon) ListedVMs() int { return len(d.fleet.View().VMs().VMs) }
+
 // Loads returns the demand of each pool with any.
 func (d *Daemon) Loads() map[string]int { return d.pools.Loads() }
 
@@ -275,9 +278,9 @@
 	if view.Record().Generation == 0 {
 		return
 	}
-	d.pools.Apply(plansOf(view, d.settings.Limits.WorkerConnection))
+	d.pools.Apply(plansOf(view, d.clock.Now(), d.settings.Limits.WorkerConnection))
 	addresses := map[string]bool{}
-	for _, vm := range view.VMs().VMs {
+	for _, vm := range view.Workers(d.clock.Now()) {
 		addresses[vm.Address] = true
 	}
 	d.transport.Keep(addresses)
--- a/internal/fulmardaemon/fault_test.go
+++ b/internal/fulmardaemon/fault_test.go
@@ -276,3 +276,23 @@
 	f.c.Assert(r.outcome, qt.Equals, fulmarapi.Answered)
 	f.c.Assert(len(r.body) > len(body), qt.IsTrue)
 }
+
+// TestEmptyVMListStopsNothing empties the platform's list, as it may be for a
+// moment after an outage: the workers are still there.
+func TestEmptyVMListStopsNothing(t *testing.T) {
+	f := startFleet(qt.New(t), 2, 2)
+	f.platform.Faults().Set(fulmarstandin.FaultTable{EmptyList: true})
+	f.eventually("every member has seen the empty list", func() bool {
+		for _, m := range f.members {
+			if m.daemon.ListedVMs() > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	replies := f.sendAll(40, func(i int) ask { return ask{method: post, member: i % 2, timeout: 5 * time.Second} })
+	f.checkTruth(replies)
+	for _, r := range replies {
+		f.c.Check(r.outcome, qt.Equals, fulmarapi.Answered, qt.Commentf("%s", r.reason))
+	}
+}
--- a/internal/fulmardaemon/plan.go
+++ b/internal/fulmardaemon/plan.go
@@ -1,6 +1,7 @@
 package fulmardaemon
 
 import (
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
 	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
@@ -13,11 +14,11 @@
 const sparedMembers = 1
 
 // plansOf works out what each pool's scheduler is to follow.
-func plansOf(view *fulmarfleet.View, workerConnections int) map[string]fulmardispatch.PoolPlan {
+func plansOf(view *fulmarfleet.View, now fulmarclock.Millis, workerConnections int) map[string]fulmardispatch.PoolPlan {
 	document := view.Record().Document
 	members := max(1, len(view.Members()))
 	teams := teamBounds(document, members)
-	workers := workersByPool(view)
+	workers := workersByPool(view, now)
 	anyTeamShare := len(document.Teams) == 0
 	plans := make(map[string]fulmardispatch.PoolPlan, len(document.Pools))
 	for name := range document.Pools {
@@ -68,10 +69,10 @@
 	return bounds
 }
 
-func workersByPool(view *fulmarfleet.View) map[string][]fulmardispatch.Assigned {
+func workersByPool(view *fulmarfleet.View, now fulmarclock.Millis) map[string][]fulmardispatch.Assigned {
 	table, _ := view.Table()
 	workers := map[string][]fulmardispatch.Assigned{}
-	for _, vm := range view.VMs().VMs {
+	for _, vm := range view.Workers(now) {
 		assignment, assigned := table.VMs[vm.ID]
 		if !assigned {
 			continue
--- a/internal/fulmarfleet/fleet.go
+++ b/internal/fulmarfleet/fleet.go
@@ -94,7 +94,7 @@
 	f.update(func(next *View) bool {
 		newer := list.Version > next.vms.Version
 		if newer {
-			next.vms = list
+			next.setVMs(list, f.clock.Now())
 		}
 		return newer
 	})
@@ -126,7 +126,7 @@
 		}
 		if found {
 			f.update(func(next *View) bool {
-				next.vms = list
+				next.setVMs(list, f.clock.Now())
 				return true
 			})
 		}
--- a/internal/fulmarfleet/view.go
+++ b/internal/fulmarfleet/view.go
@@ -27,8 +27,43 @@
 	MembersPrefix = "fleet/members/"
 	// lapsedKept is how long a member counts after its line has ended without a planned stop, in milliseconds.
 	lapsedKept = 10 * fulmarclock.Minute
+	// vanishedUsed is how long a VM is used after it has vanished from the list, in milliseconds.
+	vanishedUsed = 15 * fulmarclock.Second
 )
 
+// vanishedVM is a VM that has left the list, with the time at which that was seen.
+type vanishedVM struct {
+	vm fulmarplatform.VM
+	at fulmarclock.Millis
+}
+
+// setVMs replaces the list and notes which VMs have vanished from it. A VM that
+// was leaving is gone, and so is one whose address another VM has now.
+func (v *View) setVMs(list fulmarplatform.VMList, now fulmarclock.Millis) {
+	vanished := map[string]vanishedVM{}
+	for id, gone := range v.vanished {
+		if now-gone.at < vanishedUsed {
+			vanished[id] = gone
+		}
+	}
+	for _, vm := range v.vms.VMs {
+		if vm.State == fulmarplatform.VMLive {
+			vanished[vm.ID] = vanishedVM{vm: vm, at: now}
+		}
+	}
+	addresses := map[string]bool{}
+	for _, vm := range list.VMs {
+		addresses[vm.Address] = true
+		delete(vanished, vm.ID)
+	}
+	for id, gone := range vanished {
+		if addresses[gone.vm.Address] {
+			delete(vanished, id)
+		}
+	}
+	v.vms, v.vanished = list, vanished
+}
+
 // Member is one entry VM's line in the platform's key-value service.
 type Member struct {
 	Name        string `json:"name"`
@@ -48,8 +83,10 @@
 	tableRevision fulmarplatform.Revision
 	members       map[string]Member
 	// lapsed are members whose line ended without a planned stop, with the time of its end.
-	lapsed           map[string]fulmarclock.Millis
-	vms              fulmarplatform.VMList
+	lapsed map[string]fulmarclock.Millis
+	vms    fulmarplatform.VMList
+	// vanished are VMs that left the list without being told to leave.
+	vanished         map[string]vanishedVM
 	platformSeen     fulmarclock.Millis
 	platformAnswered bool
 }
@@ -63,6 +100,20 @@
 // VMs returns the platform's VM list as last seen.
 func (v *View) VMs() fulmarplatform.VMList { return v.vms }
 
+// Workers returns the listed VMs and those that have vanished from the list a
+// short while ago: after an outage of the platform the list may lack VMs that
+// could not report, and a VM that is gone refuses connections by itself.
+func (v *View) Workers(now fulmarclock.Millis) []fulmarplatform.VM {
+	workers := append([]fulmarplatform.VM(nil), v.vms.VMs...)
+	for _, gone := range v.vanished {
+		if now-gone.at < vanishedUsed {
+			workers = append(workers, gone.vm)
+		}
+	}
+	sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
+	return workers
+}
+
 // PlatformSeen returns the time of the last answered watch.
 func (v *View) PlatformSeen() fulmarclock.Millis { return v.platformSeen }
 
--- a/internal/fulmarstandin/platform.go
+++ b/internal/fulmarstandin/platform.go
@@ -208,6 +208,9 @@
 
 func (p *Platform) vms(c echo.Context) error {
 	list := p.fleet.List()
+	if p.faults.Table().EmptyList {
+		list = fulmarplatform.VMList{Version: list.Version + 1}
+	}
 	if strconv.FormatInt(list.Version, 10) == c.QueryParam("after") {
 		return c.NoContent(http.StatusNotModified)
 	}
