A member that lacks news calls its peers whatever its name

Cause: only the caller of a pair fetches what it lacks, and the second by name seldom calls, so a member cut off from the platform could go without news until it was fenced. Ruled out: the fetch itself, which worked for the first by name.

--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -180,9 +180,6 @@
 // Record returns the configuration in force.
 func (d *Daemon) Record() fulmarconfig.Record { return d.fleet.View().Record() }
 
-// ListedVMs returns the number of VMs in the platform's list as last seen.
-func (d *Daemon) ListedVMs() int { return len(d.fleet.View().VMs().VMs) }
-
 // Loads returns the demand of each pool with any.
 func (d *Daemon) Loads() map[string]int { return d.pools.Loads() }
 
--- a/internal/fulmardaemon/run.go
+++ b/internal/fulmardaemon/run.go
@@ -52,10 +52,6 @@
 	d.callers.shutdown(ctx)
 }
 
-// Kill cuts every connection of the callers and stops taking new ones, as the
-// end of the VM does. Run goes on until its context ends.
-func (d *Daemon) Kill() { d.callers.close() }
-
 func (d *Daemon) close() {
 	d.pools.Close()
 	d.claimer.Close()
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -6,9 +6,6 @@
 	"sync"
 
 	"github.com/charmbracelet/log"
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
@@ -21,14 +18,12 @@
 const (
 	// digestStale is how old a peer's digest may be before its demand counts as none.
 	digestStale = 2 * fulmarclock.Second
+	// digestForgotten is how old a digest may be before it is dropped.
+	digestForgotten = 10 * fulmarclock.Minute
 	// restRounds is how many digest intervals pass between messages while no pool has any demand.
 	restRounds = 4
 	// callDigests is how many digest intervals one call between members may take.
 	callDigests = 4
-	// keepAlive is the time between pings on a silent connection between members.
-	keepAlive = 10 * fulmarclock.Second
-	// keepAliveTimeout is how long a ping may stay unanswered.
-	keepAliveTimeout = 2 * fulmarclock.Second
 )
 
 // Source is what a member tells the others and learns from them.
@@ -76,12 +71,6 @@
 	at     fulmarclock.Millis
 }
 
-type peer struct {
-	connection *grpc.ClientConn
-	client     fulmarpeerpb.PeersClient
-	busy       bool
-}
-
 // NewExchange returns an exchange that sends a digest each interval every.
 func NewExchange(self fulmarfleet.Member, fleet *fulmarfleet.Fleet, clock fulmarclock.Clock, source Source, counters Counters, logger *log.Logger, every fulmarclock.Millis) *Exchange {
 	return &Exchange{
@@ -218,10 +207,10 @@
 	now := e.clock.Now()
 	demands := map[string][]fulmardispatch.Demand{}
 	for name, seen := range e.digests {
-		if now-seen.at > digestStale {
-			continue
+		if now-seen.at > digestForgotten {
+			delete(e.digests, name)
 		}
-		if name == e.self.Name {
+		if name == e.self.Name || now-seen.at > digestStale {
 			continue
 		}
 		for _, load := range seen.digest.GetPools() {
@@ -255,9 +244,11 @@
 
 // isOwnTurn tells whether this member calls the other one. As an answer carries
 // a digest too, one call serves both: the first by name calls. The second calls
-// only when it has not heard from the first for longer than the first may wait.
+// only when it has not heard from the first for longer than the first may wait,
+// or when it lacks news, which only the caller of the two fetches.
 func (e *Exchange) isOwnTurn(member fulmarfleet.Member, hasDemand bool) bool {
-	if e.self.Name < member.Name {
+	lacksNews := e.isCutOff() || e.BehindSince() > 0
+	if e.self.Name < member.Name || lacksNews {
 		return true
 	}
 	wait := restRounds * e.every
@@ -299,59 +290,3 @@
 		e.logger.Error("a peer's state cannot be read", "error", err)
 	}
 }
-
-func (e *Exchange) claimPeer(member fulmarfleet.Member) *peer {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p, known := e.peers[member.Peers]
-	if !known {
-		connection, err := dialPeer(member.Peers)
-		if err != nil {
-			return nil
-		}
-		p = &peer{connection: connection, client: fulmarpeerpb.NewPeersClient(connection)}
-		e.peers[member.Peers] = p
-	}
-	if p.busy {
-		return nil
-	}
-	p.busy = true
-	return p
-}
-
-func dialPeer(address string) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{
-			Time: keepAlive.Duration(), Timeout: keepAliveTimeout.Duration(),
-		}))
-}
-
-func (e *Exchange) releasePeer(p *peer) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p.busy = false
-}
-
-func (e *Exchange) dropPeersBut(others []fulmarfleet.Member) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	wanted := map[string]bool{}
-	for _, member := range others {
-		wanted[member.Peers] = true
-	}
-	for address, p := range e.peers {
-		if !wanted[address] && !p.busy {
-			_ = p.connection.Close()
-			delete(e.peers, address)
-		}
-	}
-}
-
-func (e *Exchange) close() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.peers {
-		_ = p.connection.Close()
-	}
-}
--- /dev/null
+++ b/internal/fulmarmember/turn_test.go
@@ -0,0 +1,52 @@
+package fulmarmember
+
+import (
+	"io"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmardispatch"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarmember/fulmarpeerpb"
+)
+
+type turnSource struct{ cutOff bool }
+
+func (s turnSource) Loads() map[string]int                         { return nil }
+func (s turnSource) LearnLoads(map[string][]fulmardispatch.Demand) {}
+func (s turnSource) Stopping() bool                                { return false }
+func (s turnSource) Applied() (sequence int64, busyVMs []string)   { return 0, nil }
+func (s turnSource) IsCutOff() bool                                { return s.cutOff }
+
+type noCounters struct{}
+
+func (noCounters) PeerMessage(string)    {}
+func (noCounters) PeerBytes(string, int) {}
+
+// TestTurns lists who calls whom: a member that lacks news calls whatever its name is.
+func TestTurns(t *testing.T) {
+	cases := []struct {
+		name, self string
+		cutOff     bool
+		// told is the assignments' revision that the peer has told of, a moment ago.
+		told int64
+		want bool
+	}{
+		{"first by name", "a", false, 0, true},
+		{"second by name, just called", "z", false, 0, false},
+		{"second by name, cut off from the platform", "z", true, 0, true},
+		{"second by name, behind", "z", false, 7, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := fulmarclock.NewManual(10_000)
+			fleet := fulmarfleet.New(nil, clock, log.New(io.Discard), nil, 1000)
+			e := NewExchange(fulmarfleet.Member{Name: tc.self}, fleet, clock, turnSource{tc.cutOff}, noCounters{}, log.New(io.Discard), 250)
+			e.keep(&fulmarpeerpb.Digest{Member: "m", TableRevision: tc.told})
+			qt.Assert(t, e.isOwnTurn(fulmarfleet.Member{Name: "m"}, false), qt.Equals, tc.want)
+		})
+	}
+}
