Members unknown to the others take no callers; the fence looks at the watch

Cause 1: a new member took callers as soon as it knew the configuration, also while it could not announce itself; a move waits only for announced members, so requests of that member could have run on a VM beside those of its next pool. Cause 2: any answer of the platform counted as contact, so a member whose watch had gone silent, but whose look at the VM list was answered, went on with old assignments. Contact is now the last answered watch, and a watch without changes is answered within two thirds of the fence time (2 s by default, 20 s before).

Before: with the guard removed TestMemberUnknownToTheOthersTakesNoCallers failed. After: it passes, and the whole suite with the race detector.

Cost: at most 0.5 watches a second for each member in place of 0.05.

--- a/internal/fulmarbench/localfleet.go
+++ b/internal/fulmarbench/localfleet.go
@@ -41,7 +41,7 @@
 	if f.platform, err = fulmarstandin.StartPlatform("127.0.0.1:0", clock); err != nil {
 		return f, err
 	}
-	client := fulmarplatform.NewClient(f.platform.URL(), clock, platformCall, noCounter{})
+	client := fulmarplatform.NewClient(f.platform.URL(), platformCall, noCounter{})
 	o := options{name: "vm", count: workers, perRack: 4, slots: 8, connections: 64}
 	if f.workers, err = startWorkers(&o, client, clock); err != nil {
 		return f, err
--- a/internal/fulmarbench/main.go
+++ b/internal/fulmarbench/main.go
@@ -108,7 +108,7 @@
 
 func runWorkers(ctx context.Context, o *options, out io.Writer) error {
 	clock := fulmarclock.NewSystem()
-	client := fulmarplatform.NewClient(o.platform, clock, platformCall, noCounter{})
+	client := fulmarplatform.NewClient(o.platform, platformCall, noCounter{})
 	workers, err := startWorkers(o, client, clock)
 	defer closeWorkers(workers)
 	if err != nil {
--- a/internal/fulmardaemon/config_test.go
+++ b/internal/fulmardaemon/config_test.go
@@ -207,3 +207,18 @@
 	f.platform.Faults().Set(fulmarstandin.FaultTable{})
 	f.eventually("the new member is ready", func() bool { return fresh.daemon.Entry().IsReady() })
 }
+
+// TestMemberUnknownToTheOthersTakesNoCallers starts a member that learns the
+// configuration but cannot announce itself: a move would not wait for its word.
+func TestMemberUnknownToTheOthersTakesNoCallers(t *testing.T) {
+	f := startFleet(qt.New(t), 1, 1)
+	f.platform.Faults().Set(fulmarstandin.FaultTable{NoLeases: true})
+	fresh := f.addMember(testSettings(1, f.platform.URL()))
+	f.eventually("the configuration is known", func() bool { return fresh.daemon.Record().Generation == 1 })
+	r := f.send(context.Background(), ask{id: "early", method: post, member: 1})
+	f.checkTruth([]reply{r})
+	f.c.Assert(r.reason, qt.Equals, fulmarapi.ReasonNotAnnounced)
+	f.c.Assert(fresh.daemon.Entry().IsReady(), qt.IsFalse)
+	f.platform.Faults().Set(fulmarstandin.FaultTable{})
+	f.eventually("the member is ready", func() bool { return fresh.daemon.Entry().IsReady() })
+}
--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -49,6 +49,10 @@
 	// planRounds is how many planning rounds fit between two looks at the VM list.
 	planRounds = 2
 	planLimit  = 5 * fulmarclock.Second
+	// A watch without changes is answered within two thirds of the fence time, so
+	// that a watch that has gone silent is noticed within the fence time.
+	watchShare = 2
+	watchWhole = 3
 )
 
 // Daemon is one member.
@@ -69,7 +73,8 @@
 	entry      *fulmarentry.Entry
 	mover      *fulmarmove.Mover
 	// applied is the sequence of the assignments that the schedulers follow.
-	applied atomic.Int64
+	applied   atomic.Int64
+	announced atomic.Bool
 
 	callers   *listening
 	operators *listening
@@ -116,8 +121,8 @@
 func (d *Daemon) assemble() {
 	limits, times := d.settings.Limits, d.settings.Times
 	d.metrics = fulmarmetrics.New(d.settings.Member)
-	d.platform = fulmarplatform.NewClient(d.settings.Platform, d.clock, times.PlatformCall, d.metrics)
-	d.fleet = fulmarfleet.New(d.platform, d.clock, d.logger, d.metrics, times.VMList)
+	d.platform = fulmarplatform.NewClient(d.settings.Platform, times.PlatformCall, d.metrics)
+	d.fleet = fulmarfleet.New(d.platform, d.clock, d.logger, d.metrics, times.VMList, times.Fence*watchShare/watchWhole)
 	d.membership = fulmarmember.NewMembership(d.platform, d.clock, d.self, times.Lease, d.logger, d.metrics)
 	d.exchange = fulmarmember.NewExchange(d.self, d.fleet, d.clock, d, d.metrics, d.logger, times.Digest)
 	d.claimer = fulmarclaim.NewClaimer(d.platform, d.clock, fulmarclaim.Options{
@@ -159,14 +164,27 @@
 func (d *Daemon) IsFenced() bool {
 	now, limit := d.clock.Now(), d.settings.Times.Fence
 	return fulmarmember.IsFenced(fulmarmember.Contact{
-		Now: now, Platform: d.platform.Answered(), Heard: d.exchange.Heard(limit),
+		Now: now, Platform: d.fleet.View().PlatformSeen(), Heard: d.exchange.Heard(limit),
 		Roster: d.fleet.View().Roster(now), BehindSince: d.exchange.BehindSince(), Limit: limit,
 	})
 }
 
-// IsCutOff tells whether the platform has not answered for the fence time.
+// IsCutOff tells whether no watch has been answered for the fence time.
 func (d *Daemon) IsCutOff() bool {
-	return d.clock.Now()-d.platform.Answered() > d.settings.Times.Fence
+	return d.clock.Now()-d.fleet.View().PlatformSeen() > d.settings.Times.Fence
+}
+
+// IsAnnounced tells whether this member has ever seen its own line among the
+// members: before that, the others do not wait for its word.
+func (d *Daemon) IsAnnounced() bool {
+	if d.announced.Load() {
+		return true
+	}
+	seen := d.fleet.View().HasMember(d.self.Name, d.self.Incarnation)
+	if seen {
+		d.announced.Store(true)
+	}
+	return seen
 }
 
 // newPolicy returns the policy of the settings, which were checked.
--- a/internal/fulmardaemon/fleet_test.go
+++ b/internal/fulmardaemon/fleet_test.go
@@ -73,7 +73,7 @@
 	f := &fleet{
 		c: c, clock: clock, platform: platform, journal: &fulmarstandin.Journal{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}},
-		calls:  fulmarplatform.NewClient(platform.URL(), clock, 2000, noCounter{}),
+		calls:  fulmarplatform.NewClient(platform.URL(), 2000, noCounter{}),
 	}
 	c.Cleanup(f.close)
 	for i := range workers {
--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -62,6 +62,8 @@
 // Fence tells whether this member must not send work.
 type Fence interface {
 	IsFenced() bool
+	// IsAnnounced tells whether the other members know of this one.
+	IsAnnounced() bool
 }
 
 // Options are what an entry works with.
@@ -105,7 +107,10 @@
 
 // IsReady tells whether the balancer should send callers here.
 func (e *Entry) IsReady() bool {
-	return !e.notReady.Load() && !e.options.Fence.IsFenced() && e.options.Configuration.Record().Generation > 0
+	if !e.options.Fence.IsAnnounced() || e.options.Fence.IsFenced() {
+		return false
+	}
+	return !e.notReady.Load() && e.options.Configuration.Record().Generation > 0
 }
 
 // LeaveBalancer makes the health answer not-ready while requests are still taken.
@@ -187,6 +192,8 @@
 		return fulmarapi.NewRefusal(fulmarapi.ReasonMemoryFull, "too many requests are open").WithRetryAfter(1)
 	case e.options.Configuration.Record().Generation == 0:
 		return fulmarapi.NewRefusal(fulmarapi.ReasonNoConfiguration, "no configuration is known yet").WithRetryAfter(1)
+	case !e.options.Fence.IsAnnounced():
+		return fulmarapi.NewRefusal(fulmarapi.ReasonNotAnnounced, "the other members do not know of this one yet").WithRetryAfter(1)
 	case e.options.Fence.IsFenced():
 		return fulmarapi.NewRefusal(fulmarapi.ReasonFenced, "this member has lost touch with the fleet").WithRetryAfter(1)
 	}
--- a/internal/fulmarentry/entry_test.go
+++ b/internal/fulmarentry/entry_test.go
@@ -91,6 +91,7 @@
 	return p.scheduler, pool == "p"
 }
 func (p *onePool) IsFenced() bool              { return false }
+func (p *onePool) IsAnnounced() bool           { return true }
 func (p *onePool) Record() fulmarconfig.Record { return p.record }
 func (p *onePool) Outcome(fulmarapi.Outcome)   {}
 func (p *onePool) Retry(string)                {}
--- a/internal/fulmarfleet/fleet.go
+++ b/internal/fulmarfleet/fleet.go
@@ -19,7 +19,6 @@
 )
 
 const (
-	watchWait  = 20 * fulmarclock.Second
 	retryFirst = 100 * fulmarclock.Millis(1)
 	retryMost  = 3 * fulmarclock.Second
 )
@@ -42,16 +41,19 @@
 	logger   *log.Logger
 	failures FailureCounter
 	pollVMs  fulmarclock.Millis
+	// watchWait is how long a watch without changes waits for its answer.
+	watchWait fulmarclock.Millis
 
 	mu      sync.Mutex
 	view    atomic.Pointer[View]
 	changed chan struct{}
 }
 
-// New returns a fleet with an empty view; pollVMs is the time between looks at the VM list.
-func New(platform Platform, clock fulmarclock.Clock, logger *log.Logger, failures FailureCounter, pollVMs fulmarclock.Millis) *Fleet {
+// New returns a fleet with an empty view; pollVMs is the time between looks at
+// the VM list, watchWait the longest time of a watch without changes.
+func New(platform Platform, clock fulmarclock.Clock, logger *log.Logger, failures FailureCounter, pollVMs, watchWait fulmarclock.Millis) *Fleet {
 	f := &Fleet{
-		platform: platform, clock: clock, logger: logger, failures: failures, pollVMs: pollVMs,
+		platform: platform, clock: clock, logger: logger, failures: failures, pollVMs: pollVMs, watchWait: watchWait,
 		changed: make(chan struct{}, 1),
 	}
 	f.view.Store(&View{table: fulmarassign.Table{VMs: map[string]fulmarassign.Assignment{}}, members: map[string]Member{}, lapsed: map[string]fulmarclock.Millis{}})
@@ -105,7 +107,7 @@
 	after := fulmarplatform.Revision(0)
 	backoff := newBackoff()
 	for ctx.Err() == nil {
-		changes, err := f.platform.Watch(ctx, Prefix, after, watchWait)
+		changes, err := f.platform.Watch(ctx, Prefix, after, f.watchWait)
 		if err != nil {
 			f.failures.PlatformFailure("watch")
 			backoff.wait(ctx, f.clock)
--- a/internal/fulmarfleet/fleet_test.go
+++ b/internal/fulmarfleet/fleet_test.go
@@ -70,7 +70,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
 			platform := &scriptedPlatform{answers: make(chan fulmarplatform.Changes), taken: make(chan struct{})}
-			fleet := fulmarfleet.New(platform, fulmarclock.NewSystem(), log.New(io.Discard), noFailures{}, 1000)
+			fleet := fulmarfleet.New(platform, fulmarclock.NewSystem(), log.New(io.Discard), noFailures{}, 1000, 1000)
 			c.Assert(fleet.LearnRecord(fulmarconfig.Record{Generation: tc.learned}), qt.Equals, tc.learned > 0)
 			c.Assert(fleet.LearnRecord(fulmarconfig.Record{Generation: tc.learned - 1}), qt.IsFalse)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fulmarfleet/view.go
+++ b/internal/fulmarfleet/view.go
@@ -130,6 +130,11 @@
 	return members
 }
 
+// HasMember tells whether the view shows the line of one incarnation of a member.
+func (v *View) HasMember(name, incarnation string) bool {
+	return v.members[name].Incarnation == incarnation
+}
+
 // IsPlanner tells whether a member is the first by name, which plans. Two members
 // may think so at once; their writes are fenced by revisions.
 func (v *View) IsPlanner(name string) bool {
--- a/internal/fulmarmember/turn_test.go
+++ b/internal/fulmarmember/turn_test.go
@@ -43,7 +43,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			clock := fulmarclock.NewManual(10_000)
-			fleet := fulmarfleet.New(nil, clock, log.New(io.Discard), nil, 1000)
+			fleet := fulmarfleet.New(nil, clock, log.New(io.Discard), nil, 1000, 1000)
 			e := NewExchange(fulmarfleet.Member{Name: tc.self}, fleet, clock, turnSource{tc.cutOff}, noCounters{}, log.New(io.Discard), 250)
 			e.keep(&fulmarpeerpb.Digest{Member: "m", TableRevision: tc.told})
 			qt.Assert(t, e.isOwnTurn(fulmarfleet.Member{Name: "m"}, false), qt.Equals, tc.want)
--- a/internal/fulmarplatform/client.go
+++ b/internal/fulmarplatform/client.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
@@ -36,23 +35,17 @@
 	http  *http.Client
 	limit fulmarclock.Millis
 	calls CallCounter
-	clock fulmarclock.Clock
-	// answered is the time on the clock of the last call that the platform carried out.
-	answered atomic.Int64
 }
 
 // NewClient returns a client of the platform at the base URL; limit bounds each call but a watch.
-func NewClient(base string, clock fulmarclock.Clock, limit fulmarclock.Millis, calls CallCounter) *Client {
+func NewClient(base string, limit fulmarclock.Millis, calls CallCounter) *Client {
 	dialer := &net.Dialer{Timeout: limit.Duration(), KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: limit.Duration(), Interval: limit.Duration(), Count: 2,
 	}}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32}
-	return &Client{base: base, http: &http.Client{Transport: transport}, clock: clock, limit: limit, calls: calls}
+	return &Client{base: base, http: &http.Client{Transport: transport}, limit: limit, calls: calls}
 }
 
-// Answered returns the time of the last call that the platform carried out.
-func (c *Client) Answered() fulmarclock.Millis { return fulmarclock.Millis(c.answered.Load()) }
-
 // Close drops the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -182,9 +175,6 @@
 	if err != nil {
 		return err
 	}
-	if response.StatusCode < http.StatusInternalServerError {
-		c.answered.Store(int64(c.clock.Now()))
-	}
 	return decodeAnswer(response.StatusCode, data, reply)
 }
 
--- a/internal/fulmarplatform/platform.go
+++ b/internal/fulmarplatform/platform.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	client := fulmarplatform.NewClient("http://10.0.0.9:7000", clock, 2000, calls)
+//	client := fulmarplatform.NewClient("http://10.0.0.9:7000", 2000, calls)
 //	entry, err := client.Get(ctx, "fleet/config")
 //	revision, err := client.CompareAndSwap(ctx, "fleet/config", entry.Revision, value, "")
 //
--- a/internal/fulmarstandin/contract_test.go
+++ b/internal/fulmarstandin/contract_test.go
@@ -32,7 +32,7 @@
 	platform, err := fulmarstandin.StartPlatform("127.0.0.1:0", clock)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(platform.Close)
-	client := fulmarplatform.NewClient(platform.URL(), clock, 30*fulmarclock.Second, noCounter{})
+	client := fulmarplatform.NewClient(platform.URL(), 30*fulmarclock.Second, noCounter{})
 	c.Cleanup(client.Close)
 	return &contract{c: c, clock: clock, platform: platform, client: client, ctx: context.Background()}
 }
--- a/internal/fulmarstandin/faults.go
+++ b/internal/fulmarstandin/faults.go
@@ -14,6 +14,8 @@
 	SlowMillis fulmarclock.Millis `json:"slow_ms"`
 	// LoseAnswers carries out that many writes and cuts the connection in place of an answer.
 	LoseAnswers int `json:"lose_answers"`
+	// NoLeases refuses new leases.
+	NoLeases bool `json:"no_leases"`
 	// EmptyList leaves every VM out of the list, as after an outage in which no VM could report.
 	EmptyList bool `json:"empty_list"`
 }
--- a/internal/fulmarstandin/platform.go
+++ b/internal/fulmarstandin/platform.go
@@ -182,6 +182,9 @@
 	if err := c.Bind(&request); err != nil {
 		return err
 	}
+	if p.faults.Table().NoLeases {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
 	lease := p.store.Grant(fulmarclock.Millis(request.TTLMillis))
 	return c.JSON(http.StatusOK, fulmarplatform.LeaseReply{Lease: lease})
 }
--- a/pkg/fulmarapi/refusal.go
+++ b/pkg/fulmarapi/refusal.go
@@ -20,6 +20,7 @@
 	ReasonDeadlineTooSoon  Reason = "deadline-too-soon"
 	ReasonDeadlinePassed   Reason = "deadline-passed"
 	ReasonNoConfiguration  Reason = "no-configuration"
+	ReasonNotAnnounced     Reason = "not-announced"
 	ReasonFenced           Reason = "fenced"
 	ReasonStopping         Reason = "stopping"
 	ReasonCallerGone       Reason = "caller-gone"
@@ -38,7 +39,7 @@
 var Reasons = []Reason{
 	ReasonUnknownPool, ReasonBadHeader, ReasonBadMethod, ReasonUnknownTeam, ReasonBodyTooLarge,
 	ReasonBodyIncomplete, ReasonMemoryFull, ReasonQueueFull, ReasonTeamQueueFull, ReasonRingFull,
-	ReasonDeadlineTooSoon, ReasonDeadlinePassed, ReasonNoConfiguration, ReasonFenced, ReasonStopping,
+	ReasonDeadlineTooSoon, ReasonDeadlinePassed, ReasonNoConfiguration, ReasonNotAnnounced, ReasonFenced, ReasonStopping,
 	ReasonCallerGone, ReasonDuplicateKey, ReasonClaimsFull, ReasonClaimUnavailable, ReasonClaimExpired,
 	ReasonWorkerRefused, ReasonWorkerLost, ReasonWorkerTimeout, ReasonAnswerCut,
 	ReasonAnswerUnframed,
