--- a/internal/fulmardaemon/move_test.go
+++ b/internal/fulmardaemon/move_test.go
@@ -199,6 +199,7 @@
 
 // TestRemovedPoolGivesItsVMsAway removes a pool with a long request in flight.
 func TestRemovedPoolGivesItsVMsAway(t *testing.T) {
+	t.Parallel()
 	f, _ := startMoveFleet(qt.New(t))
 	long := make(chan reply, 1)
 	go func() { long <- f.sendTo("q", ask{id: "long", method: post, query: "work=1500"}) }()
