A look at the fence holds for 20 ms

Cause: each request looked at the fence twice, with a lock and a walk over the members' digests; beside direct requests in the same run the added p50 had grown from 0.07 to 0.28 ms.

After a pause of the process the next look is a new one, as the clock has gone on.

--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -46,6 +46,8 @@
 	callerIdle   = 60 * time.Second
 	pingLeast    = 5 * time.Second
 	housekeeping = 5 * fulmarclock.Second
+	// fenceRecheck is how long a look at the fence holds.
+	fenceRecheck = 20 * fulmarclock.Millis(1)
 	// planRounds is how many planning rounds fit between two looks at the VM list.
 	planRounds = 2
 	planLimit  = 5 * fulmarclock.Second
@@ -55,6 +57,12 @@
 	watchWhole = 3
 )
 
+// fenceLook is what a look at the fence came to.
+type fenceLook struct {
+	at     fulmarclock.Millis
+	fenced bool
+}
+
 // Daemon is one member.
 type Daemon struct {
 	settings fulmarsettings.Daemon
@@ -75,6 +83,7 @@
 	// applied is the sequence of the assignments that the schedulers follow.
 	applied   atomic.Int64
 	announced atomic.Bool
+	fence     atomic.Pointer[fenceLook]
 
 	callers   *listening
 	operators *listening
@@ -160,9 +169,21 @@
 	fulmarpeerpb.RegisterPeersServer(d.grpc, d.exchange)
 }
 
-// IsFenced tells whether this member must not send work, as it may have missed a change.
+// IsFenced tells whether this member must not send work, as it may have missed
+// a change. It looks anew when fenceRecheck has passed since the last look, also
+// after a pause of the process.
 func (d *Daemon) IsFenced() bool {
-	now, limit := d.clock.Now(), d.settings.Times.Fence
+	now := d.clock.Now()
+	if last := d.fence.Load(); last != nil && now-last.at < fenceRecheck {
+		return last.fenced
+	}
+	fenced := d.lookAtFence(now)
+	d.fence.Store(&fenceLook{at: now, fenced: fenced})
+	return fenced
+}
+
+func (d *Daemon) lookAtFence(now fulmarclock.Millis) bool {
+	limit := d.settings.Times.Fence
 	return fulmarmember.IsFenced(fulmarmember.Contact{
 		Now: now, Platform: d.fleet.View().PlatformSeen(), Heard: d.exchange.Heard(limit),
 		Roster: d.fleet.View().Roster(now), BehindSince: d.exchange.BehindSince(), Limit: limit,
