Keyed requests refused before their claim are told unknown

Cause: a member that stops, is out of memory, is fenced, or no longer knows the pool or the team refused a request before its idempotency key was looked at, and said not-run, although an earlier request with the key, through another member, may have run. Only refusals of the request's form (bad header, bad method, body too large) still say not-run.

Ruled out: the claim's own refusals, which were unknown already.

Before: 3 of the 5 rows of the new test failed.

--- a/internal/fulmarentry/entry.go
+++ b/internal/fulmarentry/entry.go
@@ -148,7 +148,7 @@
 	_ = http.NewResponseController(rw).SetWriteDeadline(time.Time{})
 	open := e.open.Add(1)
 	defer e.leave()
-	refusal := e.gate(open)
+	refusal := beforeClaim(r, e.gate(open))
 	if refusal == nil {
 		refusal = e.handle(rw, r)
 	}
@@ -204,15 +204,15 @@
 func (e *Entry) handle(rw http.ResponseWriter, r *http.Request) *fulmarapi.Refusal {
 	c, refusal := parse(r)
 	if refusal != nil {
-		return refusal
+		return beforeClaim(r, refusal)
 	}
 	document := e.options.Configuration.Record().Document
 	scheduler, known := e.options.Schedulers.Scheduler(c.pool)
 	if !known {
-		return fulmarapi.NewRefusal(fulmarapi.ReasonUnknownPool, "no pool has this name")
+		return beforeClaim(r, fulmarapi.NewRefusal(fulmarapi.ReasonUnknownPool, "no pool has this name"))
 	}
 	if _, known := document.Teams[c.team]; c.team != "" && !known {
-		return fulmarapi.NewRefusal(fulmarapi.ReasonUnknownTeam, "no team has this name")
+		return beforeClaim(r, fulmarapi.NewRefusal(fulmarapi.ReasonUnknownTeam, "no team has this name"))
 	}
 	defaults := document.For(c.pool)
 	if c.timeout == 0 {
@@ -223,7 +223,7 @@
 	release, refusal := e.bodies.take(rw, r, c.request)
 	defer release()
 	if refusal != nil {
-		return refusal
+		return beforeClaim(r, refusal)
 	}
 	p := &passage{
 		entry: e, ctx: ctx, rw: rw, call: c, scheduler: scheduler,
@@ -231,3 +231,17 @@
 	}
 	return p.run()
 }
+
+// beforeClaim makes the refusal of a request with an idempotency key unknown
+// when the key has not been looked at: an earlier request with the key may have
+// run. A request that is refused for its form was never taken in that form.
+func beforeClaim(r *http.Request, refusal *fulmarapi.Refusal) *fulmarapi.Refusal {
+	if refusal == nil || r.Header.Get(fulmarapi.HeaderIdempotencyKey) == "" {
+		return refusal
+	}
+	switch refusal.Reason() {
+	case fulmarapi.ReasonBadHeader, fulmarapi.ReasonBadMethod, fulmarapi.ReasonBodyTooLarge:
+		return refusal
+	}
+	return fulmarapi.NewUnknown(refusal.Reason(), refusal.Detail()).WithRetryAfter(refusal.RetryAfter())
+}
--- a/internal/fulmarentry/entry_test.go
+++ b/internal/fulmarentry/entry_test.go
@@ -263,3 +263,36 @@
 		b.ReportMetric(float64(clock.Now()-start), "ms/wave")
 	}
 }
+
+// TestKeyedRefusalsBeforeTheClaimAreUnknown lists refusals that come before a
+// key is looked at: an earlier request with the key may have run, unless the
+// request's form shows that none was ever taken.
+func TestKeyedRefusalsBeforeTheClaimAreUnknown(t *testing.T) {
+	cases := []struct {
+		name, method, target string
+		stop                 bool
+		header               map[string]string
+		reason               fulmarapi.Reason
+		outcome              fulmarapi.Outcome
+	}{
+		{name: "stopping", method: "POST", target: "/pools/p/", stop: true, reason: fulmarapi.ReasonStopping, outcome: fulmarapi.Unknown},
+		{name: "pool removed", method: "POST", target: "/pools/gone/", reason: fulmarapi.ReasonUnknownPool, outcome: fulmarapi.Unknown},
+		{name: "team removed", method: "POST", target: "/pools/p/", header: map[string]string{fulmarapi.HeaderTeam: "gone"}, reason: fulmarapi.ReasonUnknownTeam, outcome: fulmarapi.Unknown},
+		{name: "wrong header", method: "POST", target: "/pools/p/", header: map[string]string{fulmarapi.HeaderTimeout: "x"}, reason: fulmarapi.ReasonBadHeader, outcome: fulmarapi.NotRun},
+		{name: "TRACE", method: "TRACE", target: "/pools/p/", reason: fulmarapi.ReasonBadMethod, outcome: fulmarapi.NotRun},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			entry, _ := startEntry(t, startEcho(t).listener.Addr().String())
+			if tc.stop {
+				entry.Stop()
+			}
+			r := request(tc.method, tc.target, tc.header)
+			r.Header.Set(fulmarapi.HeaderIdempotencyKey, "k")
+			recorder := httptest.NewRecorder()
+			entry.ServeHTTP(recorder, r)
+			qt.Check(t, recorder.Header().Get(fulmarapi.HeaderReason), qt.Equals, string(tc.reason))
+			qt.Check(t, recorder.Header().Get(fulmarapi.HeaderOutcome), qt.Equals, string(tc.outcome))
+		})
+	}
+}
