Jobs on the platform: the whole path, thin

What: platform/ translates the platform's names; one member owns the scheduler by a leased key, journals each decision before its effect, and runs tasks under executor leases; every member takes callers and asks the owner. Waves of upkeep are part of it.

--- a/internal/fulmarmetrics/metrics.go
+++ b/internal/fulmarmetrics/metrics.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/pkg/fulmarapi"
 )
 
@@ -42,6 +43,8 @@
 
 	mu       sync.RWMutex
 	counters map[counterName]tally.Counter
+	// histograms holds the latencies by activity.
+	histograms map[string]tally.Histogram
 }
 
 // counterName is a counter with the value of its one label.
@@ -60,7 +63,7 @@
 		CachedReporter: reporter, Separator: tallyprometheus.DefaultSeparator,
 		SanitizeOptions: &sanitizeOptions,
 	}, reportEvery)
-	m := &Metrics{scope: scope, closer: closer, reporter: reporter, counters: map[counterName]tally.Counter{}}
+	m := &Metrics{scope: scope, closer: closer, reporter: reporter, counters: map[counterName]tally.Counter{}, histograms: map[string]tally.Histogram{}}
 	for _, reason := range fulmarapi.Reasons {
 		m.counter("refusals", "reason", string(reason))
 	}
@@ -114,6 +117,28 @@
 	m.counter("peer_bytes", "direction", direction).Inc(int64(n))
 }
 
+// Count counts an event of the scheduler by its reason.
+func (m *Metrics) Count(name, reason string) { m.counter("scheduler_"+name, "reason", reason).Inc(1) }
+
+// latencyBuckets are the upper bounds of the latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// Observe takes a latency into the histogram of an activity.
+func (m *Metrics) Observe(name string, wait fulmarclock.Millis) {
+	m.mu.RLock()
+	histogram := m.histograms[name]
+	m.mu.RUnlock()
+	if histogram == nil {
+		m.mu.Lock()
+		if histogram = m.histograms[name]; histogram == nil {
+			histogram = m.scope.Histogram(name+"_latency", latencyBuckets)
+			m.histograms[name] = histogram
+		}
+		m.mu.Unlock()
+	}
+	histogram.RecordDuration(wait.Duration())
+}
+
 func (m *Metrics) counter(name, label, value string) tally.Counter {
 	key := counterName{name: name, label: label, value: value}
 	m.mu.RLock()
--- /dev/null
+++ b/internal/fulmarnode/logwriter.go
@@ -0,0 +1,79 @@
+package fulmarnode
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// logBytes bounds the lines that wait to be written.
+const logBytes = 1 << 20
+
+// LogWriter takes lines without ever blocking and writes them in a goroutine of
+// its own. Lines that find the buffer full are dropped and counted.
+type LogWriter struct {
+	out     io.Writer
+	dropped atomic.Int64
+
+	mu     sync.Mutex
+	buffer []byte
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+}
+
+// NewLogWriter returns a writer to out.
+func NewLogWriter(out io.Writer) *LogWriter {
+	w := &LogWriter{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write takes one line.
+func (w *LogWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || len(w.buffer)+len(line) > logBytes {
+		w.dropped.Add(1)
+		return len(line), nil
+	}
+	w.buffer = append(w.buffer, line...)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what is left and waits for it.
+func (w *LogWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	close(w.wake)
+	<-w.done
+}
+
+func (w *LogWriter) run() {
+	defer close(w.done)
+	for range w.wake {
+		w.flush()
+	}
+	w.flush()
+}
+
+func (w *LogWriter) flush() {
+	w.mu.Lock()
+	lines := w.buffer
+	w.buffer = nil
+	w.mu.Unlock()
+	if len(lines) == 0 {
+		return
+	}
+	if _, err := w.out.Write(lines); err != nil {
+		w.dropped.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/fulmarnode/main.go
@@ -0,0 +1,72 @@
+package fulmarnode
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+)
+
+// memoryShare is the part of the memory limit from which the collector works harder.
+const memoryShare = 0.7
+
+const megabyte = 1 << 20
+
+// Main runs a member with the settings at path until a signal stops it.
+func Main(path string, checkOnly bool) error {
+	writer := NewLogWriter(os.Stdout)
+	defer writer.Close()
+	logger := log.NewWithOptions(writer, log.Options{ReportTimestamp: true, TimeFormat: "15:04:05.000", Formatter: log.LogfmtFormatter})
+	settings, err := LoadSettings(path)
+	if err != nil {
+		logger.Error("the settings were refused", "error", err)
+		return err
+	}
+	if checkOnly {
+		return nil
+	}
+	setLevel(logger, settings.LogLevel)
+	debug.SetMemoryLimit(int64(float64(settings.MemoryMB*megabyte) * memoryShare))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go reloadOnSignal(ctx, path, logger)
+	node, err := Start(settings, logger.With("member", settings.Member))
+	if err != nil {
+		logger.Error("the member could not start", "error", err)
+		return err
+	}
+	return node.Run(ctx)
+}
+
+func setLevel(logger *log.Logger, name string) {
+	level, err := log.ParseLevel(name)
+	if err != nil {
+		logger.Warn("the log level is unknown", "level", name)
+		return
+	}
+	logger.SetLevel(level)
+}
+
+// reloadOnSignal reads the settings again at SIGHUP; the log level follows them.
+func reloadOnSignal(ctx context.Context, path string, logger *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		settings, err := LoadSettings(path)
+		if err != nil {
+			logger.Error("the changed settings were refused, the old ones stay", "error", err)
+			continue
+		}
+		setLevel(logger, settings.LogLevel)
+		logger.Info("the settings were read again", "log_level", settings.LogLevel)
+	}
+}
--- /dev/null
+++ b/internal/fulmarnode/settings.go
@@ -0,0 +1,104 @@
+package fulmarnode
+
+import (
+	"net"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsettings"
+)
+
+// Settings is the settings file of one member. Lengths of time are in the unit of their name.
+type Settings struct {
+	Member     string `json:"member"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data_centre"`
+	// Callers, Ready, Peers and Metrics are the addresses of the listeners.
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"`
+	// Store, Fleet and Advice are the addresses of the platform's services.
+	Store  string `json:"store"`
+	Fleet  string `json:"fleet"`
+	Advice string `json:"advice"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
+	// MemoryMB is the process's limit.
+	MemoryMB int64         `json:"memory_mb"`
+	Bounds   BoundSettings `json:"bounds"`
+}
+
+// BoundSettings are the deployment's bounds.
+type BoundSettings struct {
+	LeaseMinMillis      float64 `json:"lease_min_ms"`
+	HoldMaxMillis       float64 `json:"hold_max_ms"`
+	StopWithinMillis    float64 `json:"stop_within_ms"`
+	CancelWithinMillis  float64 `json:"cancel_within_ms"`
+	StatusKeptSeconds   float64 `json:"status_kept_s"`
+	FleetTurnMillis     float64 `json:"fleet_turn_ms"`
+	EarlyMillis         float64 `json:"early_ms"`
+	UpkeepSeconds       float64 `json:"upkeep_s"`
+	MoveSeconds         float64 `json:"move_s"`
+	NoticeMillis        float64 `json:"notice_ms"`
+	StopProcessSeconds  float64 `json:"stop_process_s"`
+	ContactLimitMillis  float64 `json:"contact_limit_ms"`
+	InterferenceMillis  float64 `json:"interference_ms"`
+	ConfigurationMillis float64 `json:"configuration_ms"`
+}
+
+const millisInSecond = 1000
+
+// The ownership lease is this many times the shortest lease of the store.
+const leaseOverMinimum = 1.6
+
+// fallback figures stand for bounds that the file leaves out.
+var fallback = BoundSettings{
+	LeaseMinMillis: 1000, HoldMaxMillis: 10000, StopWithinMillis: 1000, CancelWithinMillis: 3000, StatusKeptSeconds: 120,
+	FleetTurnMillis: 3000, EarlyMillis: 250, UpkeepSeconds: 2, MoveSeconds: 2, NoticeMillis: 4500, StopProcessSeconds: 6,
+	ContactLimitMillis: 3000, InterferenceMillis: 4000, ConfigurationMillis: 2000,
+}
+
+// LoadSettings reads and checks the file at path.
+func LoadSettings(path string) (Settings, error) {
+	s := Settings{LogLevel: "info", Bounds: fallback}
+	positions, err := fulmarsettings.ReadFile(path, &s)
+	if err != nil {
+		return s, err
+	}
+	return s, s.check(path, positions)
+}
+
+func (s Settings) check(path string, positions fulmarsettings.Positions) error {
+	addresses := []struct {
+		name, value string
+	}{{"callers", s.Callers}, {"ready", s.Ready}, {"peers", s.Peers}, {"metrics", s.Metrics}, {"store", s.Store}, {"fleet", s.Fleet}}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return fulmarsettings.NewFieldError(path, positions.Line(a.name), a.name, "an address with a port is needed")
+		}
+	}
+	if s.Member == "" {
+		return fulmarsettings.NewFieldError(path, positions.Line("member"), "member", "a name is needed")
+	}
+	if s.Bounds.HoldMaxMillis <= 0 || s.Bounds.LeaseMinMillis <= 0 {
+		return fulmarsettings.NewFieldError(path, positions.Line("bounds"), "bounds", "leases must be longer than zero")
+	}
+	return nil
+}
+
+// Lease returns the length of the ownership lease.
+func (b BoundSettings) Lease() fulmarclock.Millis {
+	return fulmarclock.Millis(b.LeaseMinMillis * leaseOverMinimum)
+}
+
+// Scheduler returns the bounds that the scheduler's decisions depend on.
+func (b BoundSettings) Scheduler() fulmarsched.Bounds {
+	return fulmarsched.Bounds{
+		MaxHold: fulmarclock.Millis(b.HoldMaxMillis), StopWithin: fulmarclock.Millis(b.StopWithinMillis),
+		CancelWithin: fulmarclock.Millis(b.CancelWithinMillis), StatusKept: fulmarclock.Millis(b.StatusKeptSeconds * millisInSecond),
+		OwnerPause: fulmarclock.Millis(b.FleetTurnMillis), Early: fulmarclock.Millis(b.EarlyMillis),
+		Upkeep: fulmarclock.Millis(b.UpkeepSeconds * millisInSecond), Move: fulmarclock.Millis(b.MoveSeconds * millisInSecond),
+		Notice: fulmarclock.Millis(b.NoticeMillis),
+	}
+}
--- /dev/null
+++ b/internal/fulmarowner/constants.go
@@ -0,0 +1,33 @@
+package fulmarowner
+
+import "github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+
+const (
+	// vacancyCheck is how often a member looks whether the scheduler has an owner.
+	vacancyCheck = 300 * fulmarclock.Millis(1)
+	claimLimit   = 2 * fulmarclock.Second
+	openLimit    = 8 * fulmarclock.Second
+	openRetry    = 100 * fulmarclock.Millis(1)
+	// ringEvents bounds the events that wait for the scheduler.
+	ringEvents = 4096
+	// commitGap is the least time between the starts of two appends to the journal.
+	commitGap = 15 * fulmarclock.Millis(1)
+	// tick is how often the scheduler looks at what is due by time alone.
+	tick = 50 * fulmarclock.Millis(1)
+	// orderLimit bounds the wait for an executor's answer to an order.
+	orderLimit = 800 * fulmarclock.Millis(1)
+	// holdSlack is added to the time that a renewal may wait for an end.
+	holdSlack = 1000 * fulmarclock.Millis(1)
+	// fleetLimit bounds the wait for an answer to an order on a VM.
+	fleetLimit = 1500 * fulmarclock.Millis(1)
+	// reportLimit bounds one attempt to write a report for operators, reportRetry the wait between two.
+	reportLimit = 1500 * fulmarclock.Millis(1)
+	reportRetry = 200 * fulmarclock.Millis(1)
+	// graceAfterClaim is how long orders to executors go on after the claim's lease may
+	// have ended, as in an outage of the store; the executors' leases bound it.
+	graceAfterClaim = 0.4
+	// releaseLimit bounds the hand-over when the member stops.
+	releaseLimit = 1500 * fulmarclock.Millis(1)
+	// executorPause passes between two watches of the executors' entries.
+	executorPause = 30 * fulmarclock.Millis(1)
+)
--- /dev/null
+++ b/internal/fulmarowner/event.go
@@ -0,0 +1,117 @@
+package fulmarowner
+
+import (
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
+)
+
+// event is something that the scheduler is told.
+type event interface {
+	apply(r *reign, now fulmarclock.Millis)
+}
+
+type configured struct{ configuration *fulmarjob.Configuration }
+
+func (e configured) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.Configure(now, e.configuration)
+}
+
+type waveSeen struct{ wave fulmarjob.Wave }
+
+func (e waveSeen) apply(r *reign, now fulmarclock.Millis) { r.scheduler.SeeWave(now, e.wave) }
+
+type executorSeen struct{ executor fulmarjob.Executor }
+
+func (e executorSeen) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.SeeExecutor(now, e.executor)
+}
+
+type executorLost struct{ id string }
+
+func (e executorLost) apply(r *reign, now fulmarclock.Millis) { r.scheduler.LoseExecutor(now, e.id) }
+
+type startAnswered struct {
+	order  fulmarsched.StartOrder
+	answer fulmarjob.Answer
+}
+
+func (e startAnswered) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.StartAnswered(now, e.order.Target, e.order.Start.Task, e.order.Start.Run, e.answer)
+}
+
+type stopAnswered struct {
+	order  fulmarsched.StopOrder
+	answer fulmarjob.Answer
+}
+
+func (e stopAnswered) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.StopAnswered(now, e.order.Target, e.order.Task, e.order.Run, e.answer)
+}
+
+type holdAnswered struct {
+	order  fulmarsched.HoldOrder
+	sent   fulmarclock.Millis
+	answer fulmarjob.Answer
+	report fulmarjob.Report
+}
+
+func (e holdAnswered) apply(r *reign, now fulmarclock.Millis) {
+	if e.answer != fulmarjob.AnswerDone {
+		r.scheduler.HoldFailed(now, e.order.Target, e.answer)
+		return
+	}
+	r.scheduler.HoldAnswered(now, e.sent, e.order.Target, e.report)
+}
+
+type upkeepAnswered struct {
+	order      fulmarsched.UpkeepOrder
+	done       bool
+	impossible bool
+}
+
+func (e upkeepAnswered) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.UpkeepAnswered(now, e.order.VM, e.order.Wave, e.done, e.impossible)
+}
+
+// waiter is a caller who may be told once the journal holds what he asked for.
+type waiter struct {
+	reply   Reply
+	replies chan Reply
+}
+
+type asked struct {
+	question Question
+	replies  chan Reply
+}
+
+func (e asked) apply(r *reign, now fulmarclock.Millis) {
+	reply, stored := r.answer(now, e.question)
+	if stored {
+		r.waiting = append(r.waiting, waiter{reply: reply, replies: e.replies})
+		return
+	}
+	e.replies <- reply
+}
+
+// appended is the end of an append to the journal.
+type appended struct {
+	batch   *fulmarsched.Batch
+	waiters []waiter
+	began   fulmarclock.Millis
+	err     error
+}
+
+func (e appended) apply(r *reign, now fulmarclock.Millis) {
+	r.appending = false
+	if e.err != nil {
+		r.fail(e.err)
+		tellUnknown(e.waiters)
+		return
+	}
+	r.options.Counters.Observe("append", now-e.began)
+	r.scheduler.Committed(now, e.batch)
+	for _, w := range e.waiters {
+		w.replies <- w.reply
+	}
+}
--- /dev/null
+++ b/internal/fulmarowner/order.go
@@ -0,0 +1,105 @@
+package fulmarowner
+
+import (
+	"context"
+	"errors"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
+)
+
+// carryOut sends an order in a goroutine of its own and reports the answer.
+func (r *reign) carryOut(ctx context.Context, o fulmarsched.Order) {
+	switch o := o.(type) {
+	case fulmarsched.StartOrder:
+		r.calls.Go(func() { r.start(ctx, o) })
+	case fulmarsched.StopOrder:
+		r.calls.Go(func() { r.stop(ctx, o) })
+	case fulmarsched.HoldOrder:
+		r.calls.Go(func() { r.hold(ctx, o) })
+	case fulmarsched.PaceOrder:
+		r.calls.Go(func() { r.pace(ctx, o) })
+	case fulmarsched.UpkeepOrder:
+		r.calls.Go(func() { r.maintain(ctx, o) })
+	case fulmarsched.WaveReport:
+		r.calls.Go(func() { r.reportWave(ctx, o) })
+	}
+}
+
+func (r *reign) start(ctx context.Context, o fulmarsched.StartOrder) {
+	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
+	defer cancel()
+	began := r.options.Clock.Now()
+	answer, err := r.options.Executors.Start(limited, o.Target.Address, o.Target.ID, o.Start)
+	r.noteOrder("start", o.Target.ID, answer, err)
+	r.options.Counters.Observe("start_order", r.options.Clock.Now()-began)
+	r.send(startAnswered{o, answer})
+}
+
+func (r *reign) stop(ctx context.Context, o fulmarsched.StopOrder) {
+	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
+	defer cancel()
+	answer, err := r.options.Executors.Stop(limited, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token)
+	r.noteOrder("stop", o.Target.ID, answer, err)
+	r.send(stopAnswered{o, answer})
+}
+
+func (r *reign) hold(ctx context.Context, o fulmarsched.HoldOrder) {
+	limited, cancel := context.WithTimeout(ctx, (o.Wait + holdSlack).Duration())
+	defer cancel()
+	sent := r.options.Clock.Now()
+	answer, report, err := r.options.Executors.Hold(limited, o.Target.Address, o.Target.ID, o.Token, o.Acknowledged, o.Deadline, o.Wait)
+	r.noteOrder("hold", o.Target.ID, answer, err)
+	r.send(holdAnswered{order: o, sent: sent, answer: answer, report: report})
+}
+
+func (r *reign) pace(ctx context.Context, o fulmarsched.PaceOrder) {
+	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
+	defer cancel()
+	answer, err := r.options.Executors.Pace(limited, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token, o.Percent)
+	r.noteOrder("pace", o.Target.ID, answer, err)
+}
+
+func (r *reign) noteOrder(order, executor string, answer fulmarjob.Answer, err error) {
+	r.options.Counters.Count("orders", order+"-"+answer.String())
+	if err != nil {
+		r.options.Logger.Warn("an order was not answered", "order", order, "executor", executor, "error", err)
+	}
+}
+
+func (r *reign) maintain(ctx context.Context, o fulmarsched.UpkeepOrder) {
+	if !r.claim.IsValid() {
+		r.options.Logger.Warn("an upkeep was not ordered as the claim may have ended", "vm", o.VM, "wave", o.Wave)
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, fleetLimit.Duration())
+	defer cancel()
+	err := r.options.Fleet.Maintain(limited, o.VM, o.Wave, r.options.Self.Member, o.Token)
+	if err != nil {
+		r.options.Logger.Warn("an upkeep was not confirmed", "vm", o.VM, "wave", o.Wave, "error", err)
+		r.options.Counters.Count("upkeep_failures", reasonOf(err))
+	}
+	var rejected *fulmarjob.RejectedError
+	impossible := errors.As(err, &rejected) && rejected.Reason != "busy" && rejected.Reason != "fence"
+	r.send(upkeepAnswered{order: o, done: err == nil, impossible: impossible})
+}
+
+// reportWave writes until the store holds the report.
+func (r *reign) reportWave(ctx context.Context, o fulmarsched.WaveReport) {
+	key, value := r.options.Reports.WaveState(o.Wave, o.Completed)
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, reportLimit.Duration())
+		_, err := r.options.Store.Commit(limited, fulmarledger.Transaction{
+			Conditions: []fulmarledger.Condition{{Key: fulmarledger.OwnerKey, Revision: r.claim.Token()}},
+			Puts:       []fulmarledger.Put{{Key: key, Value: value}},
+		})
+		cancel()
+		var conflict *fulmarledger.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return
+		}
+		r.options.Logger.Warn("the report on a wave is written again", "wave", o.Wave, "error", err)
+		<-r.options.Clock.After(reportRetry)
+	}
+}
--- /dev/null
+++ b/internal/fulmarsched/caller.go
@@ -0,0 +1,94 @@
+package fulmarsched
+
+import (
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// Submission is a job that a caller hands in.
+type Submission struct {
+	ID            string
+	Queue         fulmarjob.Queue
+	Specification fulmarjob.Specification
+}
+
+// Verdict is what became of a submission or a cancellation.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictStored means that the caller may be told after the next batch was committed.
+	VerdictStored Verdict = iota
+	// VerdictRefused means that the job is not known and never runs by this submission.
+	VerdictRefused
+	// VerdictUnknownJob means that there is no such job.
+	VerdictUnknownJob
+)
+
+// Decision is a verdict with its reason.
+type Decision struct {
+	Verdict Verdict
+	Reason  string
+	// RetryAfter is when a refused job may be handed in again.
+	RetryAfter fulmarclock.Millis
+}
+
+// Submit takes a job in, or refuses it. The same ID stays one job.
+func (s *Scheduler) Submit(now fulmarclock.Millis, unix int64, sub Submission) Decision {
+	s.now, s.unix = now, unix
+	if j := s.jobs[sub.ID]; j != nil {
+		return Decision{Verdict: VerdictStored, Reason: "known"}
+	}
+	j := newJob(sub.ID, sub.Queue, sub.Specification)
+	j.accepted, j.received = unix, now
+	if refusal, refused := s.refusal(j); refused {
+		s.log.Decide("job refused", "job", j.id, "queue", j.queue.Name, "reason", refusal.Reason, "retry_after_ms", refusal.RetryAfter)
+		s.log.Count("refusals", refusal.Reason)
+		return refusal
+	}
+	s.enter(j)
+	s.openOccurrences(j)
+	s.touch(j)
+	s.log.Decide("job accepted", "job", j.id, "queue", j.queue.Name, "steps", len(j.specification.Steps), "deadline_ms", j.deadline-now)
+	return Decision{Verdict: VerdictStored, Reason: "accepted"}
+}
+
+func (s *Scheduler) enter(j *job) {
+	s.jobs[j.id] = j
+	s.order = append(s.order, j)
+	j.deadline = j.received + j.queue.Aim + fulmarclock.Millis(j.queue.Slack*float64(s.chain(j, nil)))
+}
+
+// Cancel ends a job at its caller's wish.
+func (s *Scheduler) Cancel(now fulmarclock.Millis, unix int64, id string) Decision {
+	s.now, s.unix = now, unix
+	j := s.jobs[id]
+	if j == nil {
+		return Decision{Verdict: VerdictUnknownJob, Reason: "unknown job"}
+	}
+	s.finish(j, fulmarjob.Cancelled, "cancelled by its caller")
+	return Decision{Verdict: VerdictStored, Reason: "cancelled"}
+}
+
+// State returns how far a job has come.
+func (s *Scheduler) State(id string) (fulmarjob.State, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.state == fulmarjob.Queued && j.begun {
+		return fulmarjob.Running, true
+	}
+	return j.state, true
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (s *Scheduler) Pending(queue string) int {
+	n := 0
+	for _, j := range s.order {
+		if j.queue.Name == queue && !j.begun && !j.state.IsFinal() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/fulmarsched/scheduler.go
@@ -0,0 +1,174 @@
+// Package fulmarsched decides where and when tasks run. It is a state machine
+// without clock, network or randomness of its own: events go in with their time,
+// orders come out, and what must last comes out as records for the journal.
+//
+// Usage:
+//
+//	scheduler := fulmarsched.New(bounds, token)
+//	scheduler.Restore(now, records)           // what the journal holds
+//	scheduler.Configure(now, configuration)
+//	scheduler.SeeExecutor(now, executor)
+//	verdict := scheduler.Submit(now, submission)
+//	batch := scheduler.Plan(now, unix)        // places tasks
+//	…append batch.Records to the journal…
+//	scheduler.Committed(now, batch)
+//	orders := scheduler.TakeOrders()          // carry them out, report the answers
+//
+// An order that needs the journal (a start, an acknowledged end, an upkeep) comes
+// out only after the batch that holds its record was committed. So a later owner
+// knows every place where a task can be running.
+package fulmarsched
+
+import (
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// Bounds are the deployment's figures that decisions depend on.
+type Bounds struct {
+	// MaxHold is the longest lease that an executor grants.
+	MaxHold fulmarclock.Millis
+	// StopWithin is how long a stop takes at most.
+	StopWithin fulmarclock.Millis
+	// CancelWithin is how soon after a cancel nothing may start.
+	CancelWithin fulmarclock.Millis
+	// StatusKept is how long the state of an ended job is owed.
+	StatusKept fulmarclock.Millis
+	// OwnerPause is how long a new owner waits before it orders VMs about.
+	OwnerPause fulmarclock.Millis
+	// Early is how much before its time an occurrence may start.
+	Early fulmarclock.Millis
+	// Upkeep and Move are how long a VM is away for its upkeep and for a change of its pool.
+	Upkeep fulmarclock.Millis
+	Move   fulmarclock.Millis
+	// Notice is how long a lasting task may be away before it counts as unavailable.
+	Notice fulmarclock.Millis
+}
+
+// Logger takes one line for each decision; fields come in pairs.
+type Logger interface {
+	Decide(message string, fields ...any)
+	Count(name, reason string)
+}
+
+// Scheduler holds all jobs and what is known of the executors.
+type Scheduler struct {
+	bounds Bounds
+	token  int64
+	log    Logger
+
+	now           fulmarclock.Millis
+	unix          int64
+	openedAt      fulmarclock.Millis
+	configuration *fulmarjob.Configuration
+	jobs          map[string]*job
+	order         []*job
+	executors     map[string]*executor
+	waves         map[int64]*wave
+	learned       map[string]float64
+
+	dirty  []*job
+	starts []*task
+	seen   []*executor
+	waved  []*vmUpkeep
+	orders []Order
+}
+
+// New returns a scheduler whose orders bear token.
+func New(now fulmarclock.Millis, bounds Bounds, token int64, log Logger) *Scheduler {
+	return &Scheduler{
+		bounds: bounds, token: token, log: log, now: now, openedAt: now,
+		jobs: map[string]*job{}, executors: map[string]*executor{}, waves: map[int64]*wave{},
+		learned: map[string]float64{},
+	}
+}
+
+// Token returns the fencing token of the orders.
+func (s *Scheduler) Token() int64 { return s.token }
+
+// Configure brings a configuration into force.
+func (s *Scheduler) Configure(now fulmarclock.Millis, c *fulmarjob.Configuration) {
+	s.now = now
+	if s.configuration != nil && c.Version < s.configuration.Version {
+		return
+	}
+	s.configuration = c
+	for _, j := range s.order {
+		if q, found := c.QueueNamed(j.queue.Name); found {
+			j.queue = q
+		}
+	}
+}
+
+// Tick does what is due by time alone.
+func (s *Scheduler) Tick(now fulmarclock.Millis, unix int64) {
+	s.now, s.unix = now, unix
+	for _, e := range s.executors {
+		s.watchOver(e)
+	}
+	for _, j := range s.order {
+		s.openOccurrences(j)
+	}
+	s.forgetEnded()
+	s.driveWaves()
+}
+
+// Batch is what the journal must hold before its orders go out.
+type Batch struct {
+	Records []Record
+	starts  []*task
+	ends    []endCursor
+	waves   []*vmUpkeep
+}
+
+// endCursor is how far the ends of an executor's life are part of a batch.
+type endCursor struct {
+	executor *executor
+	born     int64
+	number   int64
+}
+
+// IsEmpty tells whether there is nothing to append.
+func (b *Batch) IsEmpty() bool {
+	return len(b.Records) == 0 && len(b.starts) == 0 && len(b.ends) == 0 && len(b.waves) == 0
+}
+
+// Plan places tasks and returns all that has changed since the last batch, and
+// the records of due, whose segments are to be replaced.
+func (s *Scheduler) Plan(now fulmarclock.Millis, unix int64, due []string) *Batch {
+	s.now, s.unix = now, unix
+	s.place()
+	b := &Batch{starts: s.starts, waves: s.waved}
+	b.Records = s.records(due)
+	for _, e := range s.seen {
+		e.queued = false
+		b.ends = append(b.ends, endCursor{executor: e, born: e.info.Born, number: e.seen})
+	}
+	s.starts, s.seen, s.waved = nil, nil, nil
+	return b
+}
+
+// Committed releases the orders of a batch that the journal holds.
+func (s *Scheduler) Committed(now fulmarclock.Millis, b *Batch) {
+	s.now = now
+	for _, t := range b.starts {
+		s.sendStart(t)
+	}
+	for _, c := range b.ends {
+		if c.executor.info.Born == c.born {
+			c.executor.acknowledged = max(c.executor.acknowledged, c.number)
+			s.scheduleHold(c.executor, 0)
+		}
+	}
+	for _, u := range b.waves {
+		u.stored = true
+	}
+}
+
+// TakeOrders returns the orders that are ready to be carried out.
+func (s *Scheduler) TakeOrders() []Order {
+	s.sendHolds()
+	orders := s.orders
+	s.orders = nil
+	return orders
+}
