--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -33,7 +33,8 @@
 func (s *Scheduler) sendHold(e *executor) {
 	e.holding, e.holdDue, e.holdSent = true, 0, s.now
 	o := HoldOrder{Target: e.target(), Token: s.token, Acknowledged: e.acknowledged}
-	if e.hasClock && len(e.tasks) > 0 {
+	// A probe of a silent executor renews nothing, so that its lease ends at last.
+	if e.hasClock && e.failures == 0 && len(e.tasks) > 0 {
 		o.Deadline = e.clockNow(s.now) + s.leaseLength()
 		e.noteDeadline(s.now, o.Deadline, s.bounds.MaxHold)
 	}
