Takeovers start no ended run again; silent executors are journaled

(2) A lasting task on an executor that did not answer counted as at work: AVAIL. Ruled out: lost ends (the end stood in the next report), clocks.

--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -25,7 +25,7 @@
 	reportRetry = 200 * fulmarclock.Millis(1)
 	// graceAfterClaim is how long orders to executors go on after the claim's lease may
 	// have ended, as in an outage of the store; the executors' leases bound it.
-	graceAfterClaim = 0.4
+	graceAfterClaim = 0.6
 	// releaseLimit bounds the hand-over when the member stops.
 	releaseLimit = 1500 * fulmarclock.Millis(1)
 	// executorPause passes between two watches of the executors' entries.
--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -6,7 +6,7 @@
 	// slowestClock is the slowest rate of an executor's clock against ours.
 	slowestClock = 0.98
 	// leaseShare is the part of the longest lease that is asked for.
-	leaseShare = 0.7
+	leaseShare = 0.5
 	// renewShare is the part of the asked lease that may pass before the next renewal.
 	renewShare = 0.25
 	// startValidity is how long a start order may be carried out after it was sent.
@@ -17,6 +17,8 @@
 	lapseMargin = 150 * fulmarclock.Millis(1)
 	// longPoll bounds how long a renewal waits for an end.
 	longPoll = 1500 * fulmarclock.Millis(1)
+	// silenceStep is by how much the rest of a silent executor's lease shrinks between two records of it.
+	silenceStep = 1000 * fulmarclock.Millis(1)
 	// sharedPoll bounds that wait where serving and filling tasks share an executor.
 	sharedPoll = 400 * fulmarclock.Millis(1)
 	// minHoldGap is the least time between two renewals at one executor.
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -33,6 +33,9 @@
 	queued       bool
 	acknowledged int64
 
+	// silence is the record of a silent executor in the journal.
+	silence silence
+
 	avoidUntil fulmarclock.Millis
 	// failedJobs are the jobs whose tasks failed here since the last success.
 	failedJobs []string
@@ -134,6 +137,7 @@
 	s.log.Decide("executor has a new life", "executor", e.info.ID, "born", born, "before", e.info.Born, "tasks", len(e.tasks))
 	e.info.Born = born
 	e.hasClock, e.fenced, e.clock, e.seen, e.acknowledged, e.holding = false, false, 0, 0, 0, false
+	s.endSilence(e)
 	e.deadBy = longestFrom(s.now, s.bounds.MaxHold)
 	e.failures, e.avoidUntil, e.failedJobs = 0, 0, nil
 	for _, t := range sortedTasks(e) {
@@ -147,6 +151,7 @@
 
 func (s *Scheduler) dropEmpty(e *executor) {
 	if !e.listed && len(e.tasks) == 0 {
+		s.endSilence(e)
 		delete(s.executors, e.info.ID)
 	}
 }
@@ -192,6 +197,7 @@
 // watchOver frees what a silent executor ran once its lease has surely ended, and
 // repeats orders without an answer.
 func (s *Scheduler) watchOver(e *executor) {
+	s.noteSilence(e)
 	if e.failures > 0 || !e.listed {
 		if s.now > e.deadBy+lapseMargin && len(e.tasks) > 0 {
 			for _, t := range sortedTasks(e) {
@@ -213,6 +219,10 @@
 		s.stop(t)
 		return
 	}
+	if t.sent == 0 && t.answered == 0 && !t.stopping && e.fenced {
+		s.sendStart(t)
+		return
+	}
 	if t.sent > 0 && t.answered == 0 && !t.stopping && e.heard > t.ordered && s.now > t.ordered+resendAfter {
 		s.sendStart(t)
 	}
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -34,7 +34,7 @@
 	e.holding, e.holdDue, e.holdSent = true, 0, s.now
 	o := HoldOrder{Target: e.target(), Token: s.token, Acknowledged: e.acknowledged}
 	// A probe of a silent executor renews nothing, so that its lease ends at last.
-	if e.hasClock && e.failures == 0 && len(e.tasks) > 0 {
+	if e.hasClock && e.failures == 0 && !e.silence.recorded && len(e.tasks) > 0 {
 		o.Deadline = e.clockNow(s.now) + s.leaseLength()
 		e.noteDeadline(s.now, o.Deadline, s.bounds.MaxHold)
 	}
@@ -89,6 +89,7 @@
 	}
 	wasFenced := e.fenced
 	e.failures, e.fenced, e.heard = 0, true, now
+	s.endSilence(e)
 	e.readClock(r.Clock, now)
 	if !wasFenced {
 		s.log.Decide("executor taken over", "executor", e.info.ID, "running", len(r.Running), "ended", len(r.Finished), "placed", len(e.tasks))
@@ -295,14 +296,11 @@
 		}
 	case t.answered > 0 && t.answered < sent:
 		s.vacate(t, "its executor does not know it")
-	case t.sent == 0 && !s.isFresh(t):
+	case t.sent == 0:
 		s.sendStart(t)
 	}
 }
 
-// isFresh tells whether a task was placed by this owner and waits for the journal.
-func (s *Scheduler) isFresh(t *task) bool { return t.ordered > 0 }
-
 func sortedTasks(e *executor) []*task {
 	tasks := make([]*task, 0, len(e.tasks))
 	for _, t := range e.tasks {
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -34,6 +34,8 @@
 	ordered  fulmarclock.Millis
 	answered fulmarclock.Millis
 	running  fulmarclock.Millis
+	// stored tells that the journal holds the placement.
+	stored bool
 	// sent is the number of start orders of this run.
 	sent int
 	// stopping means that the run is to end; the task is placed anew after it.
@@ -47,9 +49,9 @@
 	awaySince fulmarclock.Millis
 }
 
-// isAtWork tells whether a lasting task serves.
+// isAtWork tells whether a lasting task serves, as far as its executor still answers.
 func (t *task) isAtWork() bool {
-	return t.state == taskPlaced && t.running > 0 && t.percent >= fullSpeed && !t.stopping
+	return t.state == taskPlaced && t.running > 0 && t.percent >= fullSpeed && !t.stopping && t.executor.failures == 0
 }
 
 // occurrence is one execution of a job's steps.
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -175,7 +175,7 @@
 func (s *Scheduler) put(t *task, e *executor, run int64) {
 	t.run = run
 	t.sent, t.answered, t.running, t.stopping, t.stopped, t.percent = 0, 0, 0, false, 0, 0
-	t.ordered = s.now
+	t.ordered, t.stored = s.now, false
 	e.add(t)
 	s.starts = append(s.starts, t)
 	s.touch(t.job)
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -59,6 +59,7 @@
 		records = s.appendJob(records, j)
 	}
 	s.dirty = nil
+	records = append(records, s.silenceRecords()...)
 	for _, w := range s.waves {
 		if w.dirty {
 			w.dirty = false
@@ -101,6 +102,9 @@
 		}
 		return Record{Key: key}
 	}
+	if id, found := strings.CutPrefix(key, silenceKey); found {
+		return s.silenceRecord(id)
+	}
 	if id, found := strings.CutPrefix(key, jobKey); found {
 		if j := s.jobs[id]; j != nil && !(j.state.IsFinal() && j.placed == 0) {
 			return encode(key, j.record())
@@ -168,6 +172,13 @@
 			return &fulmarjob.FormatError{What: r.Key, Cause: err}
 		}
 	}
+	for _, r := range records {
+		if id, found := strings.CutPrefix(r.Key, silenceKey); found {
+			if err := s.restoreSilence(id, r.Value); err != nil {
+				return &fulmarjob.FormatError{What: r.Key, Cause: err}
+			}
+		}
+	}
 	for id, value := range progress {
 		if err := s.restoreEnded(id, value); err != nil {
 			return &fulmarjob.FormatError{What: progressKey + id, Cause: err}
@@ -253,4 +264,5 @@
 		e.deadBy = longestFrom(s.now, s.bounds.MaxHold)
 	}
 	e.add(t)
+	t.stored = true
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -71,6 +71,7 @@
 	starts []*task
 	seen   []*executor
 	waved  []*vmUpkeep
+	silent []string
 	orders []Order
 }
 
@@ -151,7 +152,9 @@
 // Committed releases the orders of a batch that the journal holds.
 func (s *Scheduler) Committed(now fulmarclock.Millis, b *Batch) {
 	s.now = now
+	s.settleSilences(b.Records)
 	for _, t := range b.starts {
+		t.stored = true
 		s.sendStart(t)
 	}
 	for _, c := range b.ends {
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -8,7 +8,7 @@
 // sendStart emits the start of a placed task whose placement the journal holds.
 func (s *Scheduler) sendStart(t *task) {
 	e := t.executor
-	if t.state != taskPlaced || t.stopping || !e.hasClock {
+	if t.state != taskPlaced || !t.stored || t.stopping || !e.hasClock || e.silence.recorded {
 		return
 	}
 	t.ordered = s.now
@@ -56,13 +56,18 @@
 	case fulmarjob.AnswerUnknown, fulmarjob.AnswerFenced:
 		s.probe(e)
 		return
+	case fulmarjob.AnswerOld:
+		// The run has ended there; the next report lists the end, or shows that it was forgotten.
+		t.answered = s.now
+		s.probe(e)
+		return
 	case fulmarjob.AnswerNoRoom:
 		e.avoidUntil = max(e.avoidUntil, s.now+fullPause)
 	case fulmarjob.AnswerUnhealthy, fulmarjob.AnswerOtherLife, fulmarjob.AnswerInvalid:
 		e.avoidUntil = max(e.avoidUntil, s.now+unhealthyPause)
 	}
 	s.probe(e)
-	if t.sent > 1 && answer != fulmarjob.AnswerOld {
+	if t.sent > 1 {
 		s.stop(t)
 		return
 	}
