Lasting tasks whose state is unknown are not moved beyond their bound

Ruled out: a wrong percent in the reports (traced for all tasks of the job), a deposed owner's stops.

--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -268,7 +268,7 @@
 		}
 	}
 	if t.step.HasMaxUnavailable && away >= t.step.MaxUnavailable {
-		return !t.isAtWork()
+		return false
 	}
 	return choose(t, members, s.usableByService()[t.job.queue.Service]) != nil
 }
