Durations by regression on declarations; waves spare busy pools

Cause: quick jobs' declarations are 0.36 to 4.3 times (first to last decile) what their runs take, so a mean ratio said little and refusals followed it; and the wave took five of eight VMs out of a pool during its burst.

--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -41,6 +41,8 @@
 	// returnedVMAfter is when a VM whose upkeep was ordered counts as back although nothing was heard of it, in
 	// multiples of the time that an upkeep takes.
 	returnedVMAfter = 5
+	// emptyingTime is how long a VM takes to run empty before its upkeep.
+	emptyingTime = 1500 * fulmarclock.Millis(1)
 	// absentVMAfter is when a VM without an executor is ordered down without waiting for one.
 	absentVMAfter = 8 * fulmarclock.Second
 	// orderRetry is the wait before an order to the fleet is sent again.
@@ -55,8 +57,6 @@
 	paceUpStep = 10
 	// firstPace is the pace of a filling task beside serving tasks before their tail is known.
 	firstPace = 30
-	// learnWeight is the weight of the newest duration in the learned ratio.
-	learnWeight = 0.1
 	// defaultEstimate is the assumed duration of a task without an estimate.
 	defaultEstimate = 1000 * fulmarclock.Millis(1)
 )
--- a/internal/fulmarsched/estimate.go
+++ b/internal/fulmarsched/estimate.go
@@ -13,35 +13,31 @@
 	return "queue " + j.queue.Name
 }
 
-// estimate returns the expected duration of a task: what tasks of its image took,
-// else what its caller guessed.
+// estimate returns the expected duration of a task, from what its caller declared
+// and how long tasks of its image or queue took.
 func (s *Scheduler) estimate(j *job, step *fulmarjob.Step) fulmarclock.Millis {
-	image, guess := step.Image, step.Estimate
-	if guess <= 0 {
-		guess = defaultEstimate
-	}
-	if ratio, known := s.learned[estimateKey(j, image)]; known {
-		return fulmarclock.Millis(ratio * float64(guess))
+	return s.learned[estimateKey(j, step.Image)].expect(declaredOf(step))
+}
+
+func declaredOf(step *fulmarjob.Step) fulmarclock.Millis {
+	if step.Estimate <= 0 {
+		return defaultEstimate
 	}
-	return guess
+	return step.Estimate
 }
 
-// learn takes the duration of a run that is done into the ratio of its image.
+// learn takes in the duration of a run that is done.
 func (s *Scheduler) learn(t *task) {
 	if t.answered == 0 || t.saved != "" {
 		return
 	}
-	image, guess := t.step.Image, t.step.Estimate
-	if guess <= 0 {
-		guess = defaultEstimate
-	}
-	ratio := float64(s.now-t.answered) / float64(guess)
-	key := estimateKey(t.job, image)
-	old, known := s.learned[key]
-	if !known {
-		old = 1
+	key := estimateKey(t.job, t.step.Image)
+	f := s.learned[key]
+	if f == nil {
+		f = &forecast{}
+		s.learned[key] = f
 	}
-	s.learned[key] = old + learnWeight*(ratio-old)
+	f.learn(declaredOf(t.step), s.now-t.answered)
 }
 
 // chain returns the longest chain of estimated work of one occurrence; o limits it to what is left.
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -141,7 +141,8 @@
 	if t == nil {
 		return
 	}
-	s.log.Decide("run ended", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.How, "executor", e.info.ID, "attempts", t.attempts)
+	s.log.Decide("run ended", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.How, "executor", e.info.ID, "attempts", t.attempts,
+		"image", t.step.Image, "took_ms", s.now-t.answered, "declared_ms", t.step.Estimate, "expected_ms", s.estimate(t.job, t.step))
 	isPresent := t.state == taskPlaced && t.executor == e && t.run == f.Run
 	if f.Saved != "" && f.Run == t.run {
 		t.saved = f.Saved
--- /dev/null
+++ b/internal/fulmarsched/pool.go
@@ -0,0 +1,99 @@
+package fulmarsched
+
+import (
+	"slices"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// poolReportEvery is the time between two log lines on each pool.
+const poolReportEvery = fulmarclock.Second
+
+// pool sums up the executors and the waiting work of a service.
+type pool struct {
+	service   string
+	executors int
+	usable    int
+	capacity  fulmarjob.Resources
+	used      fulmarjob.Resources
+	// waiting and ready count the tasks without a place, and those of them whose turn has come.
+	waiting int
+	ready   int
+	// lasting is what lasting tasks take.
+	lasting fulmarjob.Resources
+	// backlog is the waiting work in milliseconds of a thousandth of a core.
+	backlog float64
+}
+
+// pools sums up all services.
+func (s *Scheduler) pools() map[string]*pool {
+	pools := map[string]*pool{}
+	at := func(service string) *pool {
+		p := pools[service]
+		if p == nil {
+			p = &pool{service: service}
+			pools[service] = p
+		}
+		return p
+	}
+	for _, e := range s.executors {
+		p := at(e.info.Service)
+		p.executors++
+		if e.isUsable(s.now) {
+			p.usable++
+			p.capacity = p.capacity.Plus(e.info.Capacity)
+			p.used = p.used.Plus(e.used)
+		}
+	}
+	for _, j := range s.order {
+		if j.state.IsFinal() {
+			continue
+		}
+		p := at(j.queue.Service)
+		for _, o := range j.active {
+			s.addWaiting(p, j, o)
+		}
+	}
+	return pools
+}
+
+func (s *Scheduler) addWaiting(p *pool, j *job, o *occurrence) {
+	for i, tasks := range o.steps {
+		if o.left[i] == 0 {
+			continue
+		}
+		waiting := 0
+		for _, t := range tasks {
+			if t.state == taskWaiting {
+				waiting++
+			}
+		}
+		p.waiting += waiting
+		step := &j.specification.Steps[i]
+		if !step.Lasting {
+			p.backlog += float64(waiting) * float64(step.Need.MilliCPU) * float64(s.estimate(j, step))
+		}
+		if o.stepReady(j, i) {
+			p.ready += waiting
+		}
+	}
+}
+
+// reportPools writes a line on each pool now and then.
+func (s *Scheduler) reportPools() {
+	if s.now < s.pooledAt+poolReportEvery {
+		return
+	}
+	s.pooledAt = s.now
+	pools := s.summary
+	names := make([]string, 0, len(pools))
+	for name := range pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		p := pools[name]
+		s.log.Decide("pool", "service", name, "executors", p.executors, "usable", p.usable, "capacity_mcpu", p.capacity.MilliCPU, "used_mcpu", p.used.MilliCPU, "waiting_tasks", p.waiting, "ready_tasks", p.ready, "backlog_core_ms", int64(p.backlog/1000))
+	}
+}
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -60,12 +60,15 @@
 	now           fulmarclock.Millis
 	unix          int64
 	openedAt      fulmarclock.Millis
+	pooledAt      fulmarclock.Millis
 	configuration *fulmarjob.Configuration
 	jobs          map[string]*job
 	order         []*job
 	executors     map[string]*executor
 	waves         map[int64]*wave
-	learned       map[string]float64
+	learned       map[string]*forecast
+	// summary is the state of the pools at the last tick.
+	summary map[string]*pool
 
 	dirty  []*job
 	starts []*task
@@ -80,7 +83,7 @@
 	return &Scheduler{
 		bounds: bounds, token: token, log: log, now: now, openedAt: now,
 		jobs: map[string]*job{}, executors: map[string]*executor{}, waves: map[int64]*wave{},
-		learned: map[string]float64{},
+		learned: map[string]*forecast{},
 	}
 }
 
@@ -111,7 +114,9 @@
 		s.openOccurrences(j)
 	}
 	s.forgetEnded()
+	s.summary = s.pools()
 	s.driveWaves()
+	s.reportPools()
 }
 
 // Batch is what the journal must hold before its orders go out.
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -165,6 +165,7 @@
 func (s *Scheduler) nextVM(w *wave) *vmUpkeep {
 	var best *vmUpkeep
 	bestWork := 0.0
+	hurry := s.mustHurry(w)
 	for _, u := range w.vms {
 		if u.chosen || u.done {
 			continue
@@ -173,7 +174,7 @@
 		if e == nil && s.now > w.seen+absentVMAfter && best == nil {
 			best, bestWork = u, math.MaxFloat64
 		}
-		if e == nil || e.info.Draining || !e.fenced {
+		if e == nil || e.info.Draining || !e.fenced || !hurry && s.isBusy(e.info.Service) {
 			continue
 		}
 		work := float64(e.used.MilliCPU) + lastingWeight*float64(countLasting(e))
@@ -184,6 +185,31 @@
 	return best
 }
 
+// mustHurry tells whether the rest of a wave would be late if VMs of busy pools were spared any longer.
+func (s *Scheduler) mustHurry(w *wave) bool {
+	rest := 0
+	for _, u := range w.vms {
+		if !u.chosen && !u.done {
+			rest++
+		}
+	}
+	rounds := (rest + w.wave.MaxDown - 1) / w.wave.MaxDown
+	needed := fulmarclock.Millis(rounds+1) * (s.bounds.Upkeep + emptyingTime)
+	return s.now+needed > w.seen+w.wave.Within
+}
+
+// busyShare of a pool's room in use makes the pool busy.
+const busyShare = 0.5
+
+// isBusy tells whether a pool has waiting work, or little room left.
+func (s *Scheduler) isBusy(service string) bool {
+	p := s.summary[service]
+	if p == nil {
+		return false
+	}
+	return p.ready > 0 || float64(p.used.MilliCPU) > busyShare*float64(p.capacity.MilliCPU)
+}
+
 // lastingWeight makes VMs without lasting tasks go first.
 const lastingWeight = 100000
 
