--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -311,11 +311,15 @@
 	case Submit:
 		return r.submit(now, unix, q)
 	case Cancel:
-		return replyOf(r.scheduler.Cancel(now, unix, q.Job))
+		reply, stored := replyOf(r.scheduler.Cancel(now, unix, q.Job))
+		if reply.Outcome == UnknownJob {
+			return r.unknownJob(), false
+		}
+		return reply, stored
 	case State:
 		state, known := r.scheduler.State(q.Job)
 		if !known {
-			return Reply{Outcome: UnknownJob}, false
+			return r.unknownJob(), false
 		}
 		return Reply{Outcome: Done, State: state}, false
 	case Pending:
@@ -324,6 +328,14 @@
 	return Reply{Outcome: Refused, Reason: "kind"}, false
 }
 
+// unknownJob tells that there is no such job, if no other owner can know better.
+func (r *reign) unknownJob() Reply {
+	if !r.claim.IsValid() {
+		return Reply{Outcome: NotOwner}
+	}
+	return Reply{Outcome: UnknownJob, Reason: "unknown job"}
+}
+
 func (r *reign) submit(now fulmarclock.Millis, unix int64, q Question) (Reply, bool) {
 	configuration, _ := r.candidate.inputs()
 	queue, found := configuration.QueueNamed(q.Queue)
--- a/internal/fulmarsched/caller.go
+++ b/internal/fulmarsched/caller.go
@@ -70,16 +70,20 @@
 	return Decision{Verdict: VerdictStored, Reason: "cancelled"}
 }
 
-// State returns how far a job has come.
+// State returns how far a job has come. A final state shows once the journal holds
+// it: a later owner could not know of it before, and would run tasks again.
 func (s *Scheduler) State(id string) (fulmarjob.State, bool) {
 	j := s.jobs[id]
 	if j == nil {
 		return "", false
 	}
-	if j.state == fulmarjob.Queued && j.begun {
+	switch {
+	case j.state.IsFinal() && j.settled:
+		return j.state, true
+	case j.begun || j.state.IsFinal():
 		return fulmarjob.Running, true
 	}
-	return j.state, true
+	return fulmarjob.Queued, true
 }
 
 // Pending returns how many jobs of a queue have not begun.
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -94,6 +94,8 @@
 
 	state     fulmarjob.State
 	endedUnix int64
+	// settled tells that the journal holds a final state; callers see none before.
+	settled bool
 	// opened is the number of occurrences that were due so far; ended of those that are done.
 	opened int
 	ended  int
@@ -206,6 +208,7 @@
 		}
 	})
 	s.touch(j)
+	s.ended = append(s.ended, j)
 	s.log.Decide("job ended", "job", j.id, "state", state, "why", why, "took_ms", s.now-j.received)
 }
 
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -233,7 +233,7 @@
 		s.restoreTasks(j, o, r)
 	}
 	if p.Final != "" {
-		j.state, j.endedUnix = p.Final, p.Unix
+		j.state, j.endedUnix, j.settled = p.Final, p.Unix, true
 	}
 	return nil
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -75,6 +75,7 @@
 	seen   []*executor
 	waved  []*vmUpkeep
 	silent []string
+	ended  []*job
 	orders []Order
 }
 
@@ -125,6 +126,7 @@
 	starts  []*task
 	ends    []endCursor
 	waves   []*vmUpkeep
+	ended   []*job
 }
 
 // endCursor is how far the ends of an executor's life are part of a batch.
@@ -144,13 +146,13 @@
 func (s *Scheduler) Plan(now fulmarclock.Millis, unix int64, due []string) *Batch {
 	s.now, s.unix = now, unix
 	s.place()
-	b := &Batch{starts: s.starts, waves: s.waved}
+	b := &Batch{starts: s.starts, waves: s.waved, ended: s.ended}
 	b.Records = s.records(due)
 	for _, e := range s.seen {
 		e.queued = false
 		b.ends = append(b.ends, endCursor{executor: e, born: e.info.Born, number: e.seen})
 	}
-	s.starts, s.seen, s.waved = nil, nil, nil
+	s.starts, s.seen, s.waved, s.ended = nil, nil, nil, nil
 	return b
 }
 
@@ -171,6 +173,9 @@
 	for _, u := range b.waves {
 		u.stored = true
 	}
+	for _, j := range b.ended {
+		j.settled = true
+	}
 }
 
 // TakeOrders returns the orders that are ready to be carried out.
