--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -245,15 +245,7 @@
 			s.settleVM(w, u)
 			continue
 		}
-		e := s.executors[u.beforeID]
-		if e != nil && e.info.Born == u.beforeBorn {
-			e.cordoned = true
-			s.moveLasting(e)
-			if len(e.tasks) > 0 {
-				continue
-			}
-		}
-		if !u.stored || u.sent > 0 && s.now < u.sent+orderRetry {
+		if !s.emptyVM(u) || !u.stored || u.sent > 0 && s.now < u.sent+orderRetry {
 			continue
 		}
 		u.sent = s.now
@@ -261,6 +253,24 @@
 	}
 }
 
+// emptyVM keeps new tasks away from a VM, moves lasting ones, and tells whether
+// nothing runs there, whichever life of its executor that is.
+func (s *Scheduler) emptyVM(u *vmUpkeep) bool {
+	empty := true
+	for _, e := range s.executors {
+		if e.info.VM != u.vm && e.info.ID != u.beforeID {
+			continue
+		}
+		e.cordoned = true
+		if e.listed {
+			u.beforeID, u.beforeBorn = e.info.ID, e.info.Born
+		}
+		s.moveLasting(e)
+		empty = empty && len(e.tasks) == 0
+	}
+	return empty
+}
+
 // settleVM counts a VM as back when its upkeep has surely ended.
 func (s *Scheduler) settleVM(w *wave, u *vmUpkeep) {
 	if u.done || u.ordered == 0 || s.now < u.ordered+returnedVMAfter*s.bounds.Upkeep {
@@ -325,7 +335,11 @@
 func (s *Scheduler) returnedVM(e *executor) {
 	for _, w := range s.waves {
 		for _, u := range w.vms {
-			if u.vm != e.info.VM || u.done || u.ordered == 0 {
+			if u.vm != e.info.VM || u.done || !u.chosen {
+				continue
+			}
+			if u.ordered == 0 {
+				e.cordoned = true
 				continue
 			}
 			if e.info.ID != u.beforeID || e.info.Born != u.beforeBorn {
