VMs move to the pools that need them and go to standby when idle

Sizes follow running, waiting and lately refused work; parked VMs go first, then idle ones of pools with more than they need; idle VMs are parked. Moves are journaled before their order. A later life on a VM, or a confirmed order on it, ends the earlier one.

--- a/internal/fulmarowner/candidate.go
+++ b/internal/fulmarowner/candidate.go
@@ -24,6 +24,8 @@
 
 // Fleet carries out orders on VMs.
 type Fleet interface {
+	VMs(ctx context.Context) ([]fulmarjob.VM, error)
+	Move(ctx context.Context, vm, pool, holder string, token int64) error
 	Maintain(ctx context.Context, vm string, wave int64, holder string, token int64) error
 }
 
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -20,6 +20,8 @@
 	holdSlack = 1000 * fulmarclock.Millis(1)
 	// fleetLimit bounds the wait for an answer to an order on a VM.
 	fleetLimit = 1500 * fulmarclock.Millis(1)
+	// listEvery is the time between two lists of the platform's VMs.
+	listEvery = 1000 * fulmarclock.Millis(1)
 	// reportLimit bounds one attempt to write a report for operators, reportRetry the wait between two.
 	reportLimit = 1500 * fulmarclock.Millis(1)
 	reportRetry = 200 * fulmarclock.Millis(1)
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -74,6 +74,20 @@
 	r.scheduler.UpkeepAnswered(now, e.order.VM, e.order.Wave, e.done, e.impossible)
 }
 
+type moveAnswered struct {
+	order      fulmarsched.MoveOrder
+	done       bool
+	impossible bool
+}
+
+func (e moveAnswered) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.MoveAnswered(now, e.order.VM, e.order.Pool, e.done, e.impossible)
+}
+
+type vmsSeen struct{ vms []fulmarjob.VM }
+
+func (e vmsSeen) apply(r *reign, now fulmarclock.Millis) { r.scheduler.SeeVMs(now, e.vms) }
+
 // waiter is a caller who may be told once the journal holds what he asked for.
 type waiter struct {
 	reply   Reply
--- a/internal/fulmarowner/order.go
+++ b/internal/fulmarowner/order.go
@@ -22,6 +22,8 @@
 		r.calls.Go(func() { r.pace(ctx, o) })
 	case fulmarsched.UpkeepOrder:
 		r.calls.Go(func() { r.maintain(ctx, o) })
+	case fulmarsched.MoveOrder:
+		r.calls.Go(func() { r.move(ctx, o) })
 	case fulmarsched.WaveReport:
 		r.calls.Go(func() { r.reportWave(ctx, o) })
 	}
@@ -85,6 +87,42 @@
 	r.send(upkeepAnswered{order: o, done: err == nil, impossible: impossible})
 }
 
+func (r *reign) move(ctx context.Context, o fulmarsched.MoveOrder) {
+	if !r.claim.IsValid() {
+		r.options.Logger.Warn("a move was not ordered as the claim may have ended", "vm", o.VM, "pool", o.Pool)
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, fleetLimit.Duration())
+	defer cancel()
+	err := r.options.Fleet.Move(limited, o.VM, o.Pool, r.options.Self.Member, o.Token)
+	if err != nil {
+		r.options.Logger.Warn("a move was not confirmed", "vm", o.VM, "pool", o.Pool, "error", err)
+		r.options.Counters.Count("move_failures", reasonOf(err))
+	}
+	var rejected *fulmarjob.RejectedError
+	impossible := errors.As(err, &rejected) && rejected.Reason != "busy" && rejected.Reason != "fence"
+	r.send(moveAnswered{order: o, done: err == nil, impossible: impossible})
+}
+
+// listVMs asks for the platform's VMs now and then.
+func (r *reign) listVMs(ctx context.Context) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, fleetLimit.Duration())
+		vms, err := r.options.Fleet.VMs(limited)
+		cancel()
+		if err != nil {
+			r.options.Logger.Warn("the VMs could not be listed", "error", err)
+			r.options.Counters.Count("list_failures", reasonOf(err))
+		} else {
+			r.send(vmsSeen{vms})
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.options.Clock.After(listEvery):
+		}
+	}
+}
+
 // reportWave writes until the store holds the report.
 func (r *reign) reportWave(ctx context.Context, o fulmarsched.WaveReport) {
 	key, value := r.options.Reports.WaveState(o.Wave, o.Completed)
--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -56,6 +56,7 @@
 	r.options.Counters.Count("reigns", "begun")
 	follower := r.followExecutors()
 	r.calls.Go(func() { follower.Run(own) })
+	r.calls.Go(func() { r.listVMs(own) })
 	r.candidate.reign.Store(r)
 	r.loop(ctx, own, lost)
 	r.candidate.reign.Store(nil)
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -39,13 +39,17 @@
 	avoidUntil fulmarclock.Millis
 	// failedJobs are the jobs whose tasks failed here since the last success.
 	failedJobs []string
+	// retired executors are lives that are over although the store still lists them.
+	retired bool
 	// cordoned executors get nothing new, as their VM is to go down.
 	cordoned bool
-	paced    fulmarclock.Millis
+	// idleSince is when its last task left.
+	idleSince fulmarclock.Millis
+	paced     fulmarclock.Millis
 }
 
 func (s *Scheduler) newExecutor(id string) *executor {
-	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, heard: s.now}
+	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, heard: s.now, idleSince: s.now}
 	e.info.ID = id
 	s.executors[id] = e
 	return e
@@ -60,7 +64,7 @@
 
 // isUsable tells whether new tasks may go there.
 func (e *executor) isUsable(now fulmarclock.Millis) bool {
-	return e.listed && e.fenced && !e.info.Draining && !e.cordoned && e.failures == 0 && now >= e.avoidUntil
+	return e.listed && !e.retired && e.fenced && !e.info.Draining && !e.cordoned && e.failures == 0 && now >= e.avoidUntil
 }
 
 // clockNow returns a lower bound of the executor's clock at our time now.
@@ -111,13 +115,18 @@
 	if info.Born != 0 && e.info.Born != 0 && e.info.Born != info.Born {
 		s.beginLife(e, info.Born)
 	}
-	e.info, e.listed = info, true
+	if e.retired && e.info.Born == info.Born {
+		return
+	}
+	e.info, e.listed, e.retired = info, true, false
+	s.retireOlder(e)
 	if isNew {
 		s.log.Decide("executor listed", "executor", info.ID, "service", info.Service, "vm", info.VM, "born", info.Born, "draining", info.Draining)
 		e.failures = 0
 		s.scheduleHold(e, 0)
 	}
 	s.returnedVM(e)
+	s.arrivedVM(e)
 }
 
 // LoseExecutor takes in that an executor's entry has gone. What it runs goes on
@@ -131,6 +140,40 @@
 	}
 }
 
+// retireOlder ends the former lives of an executor's VM, or the executor itself when its VM has a later one.
+func (s *Scheduler) retireOlder(e *executor) {
+	for _, o := range s.executors {
+		if o == e || e.info.VM == "" || o.info.VM != e.info.VM || o.retired {
+			continue
+		}
+		if o.info.Born > e.info.Born {
+			s.retire(e, "its VM has a later life")
+			return
+		}
+		s.retire(o, "its VM has a later life")
+	}
+}
+
+// retire ends a life of an executor: nothing runs there any more, and nothing can start.
+func (s *Scheduler) retire(e *executor, why string) {
+	if e.retired {
+		return
+	}
+	e.retired, e.holdDue = true, 0
+	s.log.Decide("executor retired", "executor", e.info.ID, "vm", e.info.VM, "born", e.info.Born, "tasks", len(e.tasks), "why", why)
+	s.endSilence(e)
+	for _, t := range sortedTasks(e) {
+		s.vacate(t, why)
+	}
+}
+
+// retireLife retires an executor if it still has the life that an order on its VM has ended.
+func (s *Scheduler) retireLife(id string, born int64, why string) {
+	if e := s.executors[id]; e != nil && e.info.Born == born {
+		s.retire(e, why)
+	}
+}
+
 // beginLife frees what the former life of an executor ran. A start without an
 // answer may still reach the new life, so its run is stopped there first.
 func (s *Scheduler) beginLife(e *executor, born int64) {
@@ -139,7 +182,7 @@
 	e.hasClock, e.fenced, e.clock, e.seen, e.acknowledged, e.holding = false, false, 0, 0, 0, false
 	s.endSilence(e)
 	e.deadBy = longestFrom(s.now, s.bounds.MaxHold)
-	e.failures, e.avoidUntil, e.failedJobs = 0, 0, nil
+	e.failures, e.avoidUntil, e.failedJobs, e.retired = 0, 0, nil, false
 	for _, t := range sortedTasks(e) {
 		if t.answered == 0 && t.sent > 0 {
 			s.stop(t)
@@ -160,6 +203,7 @@
 func (s *Scheduler) vacate(t *task, why string) {
 	e := t.executor
 	e.remove(t)
+	e.idleSince = s.now
 	t.answered, t.ordered, t.running, t.sent, t.percent = 0, 0, 0, 0, 0
 	t.stopping, t.stopSent, t.stopped, t.pace = false, 0, 0, fullSpeed
 	t.awaySince = s.now
@@ -197,6 +241,9 @@
 // watchOver frees what a silent executor ran once its lease has surely ended, and
 // repeats orders without an answer.
 func (s *Scheduler) watchOver(e *executor) {
+	if e.retired {
+		return
+	}
 	s.noteSilence(e)
 	if e.failures > 0 || !e.listed {
 		if s.now > e.deadBy+lapseMargin && len(e.tasks) > 0 {
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -24,7 +24,7 @@
 // sendHolds emits the renewals that are due, one at a time for each executor.
 func (s *Scheduler) sendHolds() {
 	for _, e := range s.executors {
-		if !e.holding && e.holdDue > 0 && e.holdDue <= s.now && e.info.Address != "" {
+		if !e.retired && !e.holding && e.holdDue > 0 && e.holdDue <= s.now && e.info.Address != "" {
 			s.sendHold(e)
 		}
 	}
@@ -55,7 +55,7 @@
 func (s *Scheduler) HoldFailed(now fulmarclock.Millis, target Target, answer fulmarjob.Answer) {
 	s.now = now
 	e := s.executors[target.ID]
-	if e == nil || e.info.Born != target.Born {
+	if e == nil || e.info.Born != target.Born || e.retired {
 		return
 	}
 	e.holding = false
@@ -73,7 +73,7 @@
 func (s *Scheduler) HoldAnswered(now, sent fulmarclock.Millis, target Target, r fulmarjob.Report) {
 	s.now = now
 	e := s.executors[target.ID]
-	if e == nil || e.info.Born != target.Born {
+	if e == nil || e.info.Born != target.Born || e.retired {
 		return
 	}
 	e.holding = false
@@ -174,6 +174,7 @@
 		s.stop(t)
 	}
 	if t.executor != nil {
+		t.executor.idleSince = s.now
 		t.executor.remove(t)
 	}
 	s.close(t)
--- a/internal/fulmarsched/pool.go
+++ b/internal/fulmarsched/pool.go
@@ -15,8 +15,10 @@
 	service   string
 	executors int
 	usable    int
-	capacity  fulmarjob.Resources
-	used      fulmarjob.Resources
+	// listed is the capacity of all executors.
+	listed   fulmarjob.Resources
+	capacity fulmarjob.Resources
+	used     fulmarjob.Resources
 	// waiting and ready count the tasks without a place, and those of them whose turn has come.
 	waiting int
 	ready   int
@@ -26,6 +28,14 @@
 	backlog float64
 }
 
+// vmCores returns the mean thousandths of a core of the pool's VMs.
+func (p *pool) vmCores() float64 {
+	if p.executors == 0 {
+		return 0
+	}
+	return float64(p.listed.MilliCPU) / float64(p.executors)
+}
+
 // pools sums up all services.
 func (s *Scheduler) pools() map[string]*pool {
 	pools := map[string]*pool{}
@@ -39,7 +49,11 @@
 	}
 	for _, e := range s.executors {
 		p := at(e.info.Service)
+		if !e.listed || e.retired {
+			continue
+		}
 		p.executors++
+		p.listed = p.listed.Plus(e.info.Capacity)
 		if e.isUsable(s.now) {
 			p.usable++
 			p.capacity = p.capacity.Plus(e.info.Capacity)
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -60,6 +60,7 @@
 	}
 	s.dirty = nil
 	records = append(records, s.silenceRecords()...)
+	records = append(records, s.moveRecords()...)
 	for _, w := range s.waves {
 		if w.dirty {
 			w.dirty = false
@@ -105,6 +106,9 @@
 	if id, found := strings.CutPrefix(key, silenceKey); found {
 		return s.silenceRecord(id)
 	}
+	if vm, found := strings.CutPrefix(key, moveKey); found {
+		return s.moveRecord(vm)
+	}
 	if id, found := strings.CutPrefix(key, jobKey); found {
 		if j := s.jobs[id]; j != nil && !(j.state.IsFinal() && j.placed == 0) {
 			return encode(key, j.record())
@@ -179,6 +183,9 @@
 			}
 		}
 	}
+	if err := s.restoreMoves(records); err != nil {
+		return err
+	}
 	for id, value := range progress {
 		if err := s.restoreEnded(id, value); err != nil {
 			return &fulmarjob.FormatError{What: progressKey + id, Cause: err}
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -69,6 +69,12 @@
 	learned       map[string]*forecast
 	// summary is the state of the pools at the last tick.
 	summary map[string]*pool
+	vms     map[string]fulmarjob.VM
+	moves   map[string]*vmMove
+	// barred holds the VMs and pools, with a blank between, that the platform does not let together.
+	barred     map[string]bool
+	refused    map[string]refusedWork
+	balancedAt fulmarclock.Millis
 
 	dirty  []*job
 	starts []*task
@@ -76,6 +82,7 @@
 	waved  []*vmUpkeep
 	silent []string
 	ended  []*job
+	moved  []*vmMove
 	orders []Order
 }
 
@@ -84,7 +91,8 @@
 	return &Scheduler{
 		bounds: bounds, token: token, log: log, now: now, openedAt: now,
 		jobs: map[string]*job{}, executors: map[string]*executor{}, waves: map[int64]*wave{},
-		learned: map[string]*forecast{},
+		learned: map[string]*forecast{}, vms: map[string]fulmarjob.VM{}, moves: map[string]*vmMove{},
+		barred: map[string]bool{}, refused: map[string]refusedWork{},
 	}
 }
 
@@ -117,6 +125,7 @@
 	s.forgetEnded()
 	s.summary = s.pools()
 	s.driveWaves()
+	s.balance()
 	s.reportPools()
 }
 
@@ -127,6 +136,7 @@
 	ends    []endCursor
 	waves   []*vmUpkeep
 	ended   []*job
+	moves   []*vmMove
 }
 
 // endCursor is how far the ends of an executor's life are part of a batch.
@@ -146,13 +156,13 @@
 func (s *Scheduler) Plan(now fulmarclock.Millis, unix int64, due []string) *Batch {
 	s.now, s.unix = now, unix
 	s.place()
-	b := &Batch{starts: s.starts, waves: s.waved, ended: s.ended}
+	b := &Batch{starts: s.starts, waves: s.waved, ended: s.ended, moves: s.moved}
 	b.Records = s.records(due)
 	for _, e := range s.seen {
 		e.queued = false
 		b.ends = append(b.ends, endCursor{executor: e, born: e.info.Born, number: e.seen})
 	}
-	s.starts, s.seen, s.waved, s.ended = nil, nil, nil, nil
+	s.starts, s.seen, s.waved, s.ended, s.moved = nil, nil, nil, nil, nil
 	return b
 }
 
@@ -173,6 +183,7 @@
 	for _, u := range b.waves {
 		u.stored = true
 	}
+	s.settleMoves(b.moves)
 	for _, j := range b.ended {
 		j.settled = true
 	}
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -91,7 +91,7 @@
 
 func (s *Scheduler) executorOfVM(vm string) *executor {
 	for _, e := range s.executors {
-		if e.info.VM == vm && e.listed {
+		if e.info.VM == vm && e.listed && !e.retired {
 			return e
 		}
 	}
@@ -167,7 +167,7 @@
 	bestWork := 0.0
 	hurry := s.mustHurry(w)
 	for _, u := range w.vms {
-		if u.chosen || u.done {
+		if u.chosen || u.done || s.moves[u.vm] != nil {
 			continue
 		}
 		e := s.executorOfVM(u.vm)
@@ -258,7 +258,7 @@
 func (s *Scheduler) emptyVM(u *vmUpkeep) bool {
 	empty := true
 	for _, e := range s.executors {
-		if e.info.VM != u.vm && e.info.ID != u.beforeID {
+		if e.retired || e.info.VM != u.vm && e.info.ID != u.beforeID {
 			continue
 		}
 		e.cordoned = true
@@ -322,6 +322,7 @@
 		}
 		if done && u.ordered == 0 {
 			u.ordered = now
+			s.retireLife(u.beforeID, u.beforeBorn, "its VM is in upkeep")
 			s.log.Decide("upkeep began", "vm", vm, "wave", number)
 		}
 		if impossible {
