--- /dev/null
+++ b/internal/fulmarsched/fleet_test.go
@@ -0,0 +1,190 @@
+package fulmarsched
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+func endless(fulmarjob.TaskID, int64, *playedExecutor) (fulmarclock.Millis, bool) {
+	return 1000 * fulmarclock.Second, false
+}
+
+// atWork counts the runs of a job that serve at the present time.
+func (w *world) atWork(job string) int {
+	n := 0
+	for _, e := range w.executors {
+		for id, r := range e.running {
+			if id.Job == job && w.now >= r.began+300 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *world) seeWave(vms, maxDown int) {
+	request := fulmarjob.Wave{Number: 1, Within: 60 * fulmarclock.Second, MaxDown: maxDown}
+	for i := range vms {
+		request.VMs = append(request.VMs, fmt.Sprintf("vm-%d", i))
+	}
+	w.scheduler.SeeWave(w.now, request)
+}
+
+func (w *world) waveCompleted() bool {
+	for _, r := range w.reports {
+		if r.Completed {
+			return true
+		}
+	}
+	return false
+}
+
+func TestAWaveKeepsTheAvailabilityOfLastingTasks(t *testing.T) {
+	w := newWorld(t, 5)
+	w.behave = endless
+	w.play(1200)
+	w.submit(jobID(1), lasting(3, 1))
+	w.playUntil(4000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 3 })
+	w.seeWave(5, 2)
+	least := 3
+	w.playUntil(60000, "the wave is completed", func() bool {
+		least = min(least, w.atWork(jobID(1)))
+		return w.waveCompleted()
+	})
+	quicktest.Assert(t, least >= 2, quicktest.IsTrue)
+	quicktest.Assert(t, len(w.upkeeps) >= 5, quicktest.IsTrue)
+}
+
+func TestAWaveGoesOnUnderAnotherOwner(t *testing.T) {
+	w := newWorld(t, 4)
+	w.play(1200)
+	w.seeWave(4, 1)
+	w.playUntil(20000, "the first upkeep", func() bool { return len(w.upkeeps) == 1 })
+	w.newOwner()
+	w.playUntil(90000, "the wave is completed", w.waveCompleted)
+	down := map[string]bool{}
+	for _, vm := range w.upkeeps {
+		down[vm] = true
+	}
+	quicktest.Assert(t, len(down), quicktest.Equals, 4)
+}
+
+// A VM that was chosen for its upkeep crashes and comes back with another executor,
+// which must run empty too.
+func TestAnUpkeepWaitsForEveryLifeOnItsVM(t *testing.T) {
+	w := newWorld(t, 2)
+	w.behave = endless
+	w.play(1200)
+	w.submit(jobID(1), lasting(1, 0))
+	w.playUntil(4000, "the task serves", func() bool { return w.atWork(jobID(1)) == 1 })
+	host := w.find(Target{ID: w.runs[0].executor})
+	w.play(6000)
+	w.scheduler.SeeWave(w.now, fulmarjob.Wave{Number: 1, VMs: []string{host.info.VM}, Within: 60 * fulmarclock.Second, MaxDown: 1})
+	w.play(w.now + 500)
+	host.crash()
+	w.play(w.now + 300)
+	w.addExecutor("x-back", host.info.VM)
+	w.playUntil(60000, "the wave is completed", w.waveCompleted)
+}
+
+// An executor that misses one renewal may still serve: its task's state is not known.
+func TestATaskOfUnknownStateIsNotMovedBeyondTheBound(t *testing.T) {
+	w := newWorld(t, 3)
+	w.behave = endless
+	w.play(1200)
+	w.submit(jobID(1), lasting(2, 1))
+	w.playUntil(4000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 2 })
+	for _, e := range w.scheduler.executors {
+		if len(e.tasks) > 0 {
+			e.failures = 1
+		}
+	}
+	for _, e := range w.scheduler.executors {
+		for _, task := range e.tasks {
+			quicktest.Assert(t, w.scheduler.maySpare(task), quicktest.IsFalse)
+		}
+	}
+}
+
+func vmList(w *world, parked int) []fulmarjob.VM {
+	var vms []fulmarjob.VM
+	for _, e := range w.executors {
+		if e.alive {
+			vms = append(vms, fulmarjob.VM{Name: e.info.VM, Pool: testService, Up: true})
+		}
+	}
+	for i := range parked {
+		vms = append(vms, fulmarjob.VM{Name: fmt.Sprintf("spare-%d", i), Pool: "parked", Up: true})
+	}
+	return vms
+}
+
+func TestParkedVMsGoWhereTheLoadIs(t *testing.T) {
+	w := newWorld(t, 3)
+	w.play(4500)
+	w.scheduler.SeeVMs(w.now, vmList(w, 4))
+	for i := range 12 {
+		w.submit(jobID(i), step(4))
+	}
+	w.playUntil(6000, "VMs are ordered to the pool", func() bool { return len(w.movesMade) >= 2 })
+	for _, m := range w.movesMade {
+		quicktest.Assert(t, m.Pool, quicktest.Equals, testService)
+	}
+}
+
+func TestIdleVMsAreParkedDownToTheLeast(t *testing.T) {
+	w := newWorld(t, 6)
+	w.play(4500)
+	w.scheduler.SeeVMs(w.now, vmList(w, 0))
+	w.play(12000)
+	quicktest.Assert(t, len(w.movesMade), quicktest.Equals, 3)
+	for _, m := range w.movesMade {
+		quicktest.Assert(t, m.Pool, quicktest.Equals, "parked")
+	}
+}
+
+// The entry of an executor stays listed for a while after its VM has moved.
+func TestALifeEndedByAMoveGetsNoTasks(t *testing.T) {
+	w := newWorld(t, 4)
+	w.play(4500)
+	w.scheduler.SeeVMs(w.now, vmList(w, 0))
+	w.playUntil(9000, "a VM is parked", func() bool { return len(w.movesMade) == 1 })
+	w.play(w.now + 100)
+	for i := range 8 {
+		w.submit(jobID(i), step(2))
+	}
+	w.playUntil(w.now+5000, "all jobs are completed", w.allCompleted)
+	moved := w.movesMade[0].VM
+	for _, e := range w.scheduler.executors {
+		quicktest.Assert(t, e.info.VM == moved && len(e.tasks) > 0, quicktest.IsFalse)
+	}
+}
+
+func TestForecastFollowsRunsMoreThanPoorDeclarations(t *testing.T) {
+	random := newRandom(7)
+	var f forecast
+	for range 300 {
+		declared := fulmarclock.Millis(100 + random.below(3000))
+		f.learn(declared, fulmarclock.Millis(700+random.below(200)))
+	}
+	for _, declared := range []fulmarclock.Millis{150, 800, 3000} {
+		expected := f.expect(declared)
+		quicktest.Assert(t, expected > 600 && expected < 1000, quicktest.IsTrue, quicktest.Commentf("%d for %d", expected, declared))
+	}
+}
+
+func TestForecastKeepsGoodDeclarations(t *testing.T) {
+	random := newRandom(8)
+	var f forecast
+	for range 300 {
+		took := fulmarclock.Millis(200 + random.below(4000))
+		f.learn(took+took/10, took)
+	}
+	expected := f.expect(2200)
+	quicktest.Assert(t, expected > 1800 && expected < 2200, quicktest.IsTrue, quicktest.Commentf("%d", expected))
+}
--- a/internal/fulmarsched/silence.go
+++ b/internal/fulmarsched/silence.go
@@ -27,9 +27,11 @@
 	Rest fulmarclock.Millis `json:"r"`
 }
 
-// noteSilence records the rest of a silent executor's lease as it shrinks.
+// noteSilence records the rest of a silent executor's lease as it shrinks. An
+// executor whose address is not known can't be asked and counts as silent.
 func (s *Scheduler) noteSilence(e *executor) {
-	if e.failures == 0 || len(e.tasks) == 0 {
+	isSilent := e.failures > 0 || e.info.Address == ""
+	if !isSilent || len(e.tasks) == 0 {
 		return
 	}
 	rest := max(e.deadBy-s.now, 0)
