--- a/internal/fulmarsched/fault_test.go
+++ b/internal/fulmarsched/fault_test.go
@@ -119,28 +119,55 @@
 	}
 }
 
-// The owner is killed after each step of a job's way, once with its append lost
-// and once with it carried out and not answered.
+// The owner is killed after each step of a job's way: with its append lost or
+// carried out without an answer, and with an executor that the next owner can
+// reach or not.
 func TestOwnerKilledAtEveryStep(t *testing.T) {
 	for _, applied := range []bool{false, true} {
-		for after := worldStep; after < 1200; after += worldStep {
-			w := newWorld(t, 2)
-			w.play(1200)
-			w.submit(jobID(1), step(3), step(2, 0))
-			w.playUntil(1500, "the job is stored", func() bool { return len(w.journal) > 0 })
-			w.play(w.now + after)
-			if applied && w.batch != nil {
-				w.apply(w.batch)
-			}
-			w.newOwner()
-			w.playUntil(40000, "the job is completed", w.allCompleted)
-			if t.Failed() {
-				t.Fatalf("killed %d ms after the job was stored, append carried out: %v", after, applied)
+		for _, silent := range []bool{false, true} {
+			for after := worldStep; after < 1200; after += worldStep {
+				killOwner(t, after, applied, silent)
+				if t.Failed() {
+					t.Fatalf("killed %d ms after the job was stored, append carried out: %v, executor silent: %v", after, applied, silent)
+				}
 			}
 		}
 	}
 }
 
+func killOwner(t *testing.T, after fulmarclock.Millis, applied, silent bool) {
+	w := newWorld(t, 2)
+	w.play(1200)
+	w.submit(jobID(1), step(3), step(2, 0))
+	w.playUntil(1500, "the job is stored", func() bool { return len(w.journal) > 0 })
+	w.play(w.now + after)
+	if applied && w.batch != nil {
+		w.apply(w.batch)
+	}
+	w.executors[0].silent = silent
+	w.newOwner()
+	w.play(w.now + 5000)
+	w.executors[0].silent = false
+	w.playUntil(60000, "the job is completed", w.allCompleted)
+}
+
+// The answers to starts are lost and the runs end before they are asked for again.
+func TestARunThatEndedUnseenIsNotStartedAgain(t *testing.T) {
+	w := newWorld(t, 2)
+	w.behave = func(fulmarjob.TaskID, int64, *playedExecutor) (fulmarclock.Millis, bool) { return 50, false }
+	w.play(1200)
+	lost := map[int]bool{}
+	w.loses = func(n int) bool { return lost[n] }
+	for i := range 40 {
+		w.submit(jobID(i), step(2))
+		for n := w.orders + 1; n < w.orders+4; n++ {
+			lost[n] = true
+		}
+		w.play(w.now + 70)
+	}
+	w.playUntil(60000, "all accepted jobs have ended", w.allEnded)
+}
+
 func TestAFinalStateShowsOnlyFromTheJournal(t *testing.T) {
 	w := newWorld(t, 1)
 	w.play(1200)
@@ -264,14 +291,7 @@
 	}
 	w.storeDown = false
 	w.loses = func(int) bool { return false }
-	w.playUntil(w.now+90000, "all accepted jobs have ended", func() bool {
-		for id := range w.jobs {
-			if s, known := w.scheduler.State(id); known && !s.IsFinal() {
-				return false
-			}
-		}
-		return true
-	})
+	w.playUntil(w.now+90000, "all accepted jobs have ended", w.allEnded)
 }
 
 func (w *world) disturb(random *testRandom) {
--- a/internal/fulmarsched/world_test.go
+++ b/internal/fulmarsched/world_test.go
@@ -56,6 +56,8 @@
 	highest map[fulmarjob.TaskID]int64
 	ends    []fulmarjob.FinishedTask
 	count   int64
+	// lapsed is the number of the last end before the lease last ended; such ends no longer count as noted.
+	lapsed int64
 }
 
 type playedRun struct {
@@ -147,6 +149,9 @@
 
 // advance ends what is due.
 func (e *playedExecutor) advance() {
+	if e.clock() > e.lease {
+		e.lapsed = e.count
+	}
 	for _, r := range e.running {
 		switch {
 		case e.clock() > e.lease:
@@ -165,7 +170,7 @@
 		r.ended, r.how = e.world.now, "lost"
 	}
 	e.running, e.highest = map[fulmarjob.TaskID]*playedRun{}, map[fulmarjob.TaskID]int64{}
-	e.ends, e.count, e.token, e.lease = nil, 0, 0, 0
+	e.ends, e.count, e.token, e.lease, e.lapsed = nil, 0, 0, 0, 0
 	e.alive = false
 }
 
@@ -307,8 +312,21 @@
 
 func (w *world) noteAcknowledged(e *playedExecutor, number int64) {
 	for _, f := range e.ends {
-		if f.Number <= number && f.How == fulmarjob.EndedDone {
+		if f.Number <= number && f.Number > e.lapsed && f.How == fulmarjob.EndedDone {
 			w.noted[f.Task] = true
+			w.checkNotStartedSince(e, f)
+		}
+	}
+}
+
+// checkNotStartedSince fails when a task whose end is acknowledged was started again after that end.
+func (w *world) checkNotStartedSince(e *playedExecutor, f fulmarjob.FinishedTask) {
+	i := slices.IndexFunc(w.runs, func(r *run) bool {
+		return r.task == f.Task && r.number == f.Run && r.executor == e.info.ID && r.how == fulmarjob.EndedDone
+	})
+	for _, r := range w.runs {
+		if i >= 0 && r.task == f.Task && r.began > w.runs[i].ended {
+			w.t.Errorf("%v: run %d began at %d ms, after run %d had ended as done at %d ms", f.Task, r.number, r.began, f.Run, w.runs[i].ended)
 		}
 	}
 }
@@ -503,6 +521,16 @@
 	return state
 }
 
+// allEnded tells whether all jobs that were accepted have ended.
+func (w *world) allEnded() bool {
+	for id := range w.jobs {
+		if state, known := w.scheduler.State(id); known && !state.IsFinal() {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *world) allCompleted() bool {
 	for id := range w.jobs {
 		if w.state(id) != fulmarjob.Completed {
