Calls without an answer are repeated beside the first copy

Cause: a lost answer of the store held an append for 1.2 s and a lost answer of an executor held a start for 0.8 s and more; renewals of the ownership lease waited for each other.

--- a/internal/fulmarledger/claim.go
+++ b/internal/fulmarledger/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"sync/atomic"
 
 	"github.com/google/uuid"
@@ -142,34 +143,62 @@
 // renewalsInLease is how many renewals are tried while the lease lasts.
 const renewalsInLease = 4
 
-// Keep renews the lease until ctx ends or the lease has ended, which LostError tells.
+// Keep renews the lease until ctx ends or the lease has ended, which LostError
+// tells. A renewal without an answer does not hold up the next.
 func (c *Claim) Keep(ctx context.Context, onFailure func(error)) error {
 	wait := c.ttl / renewalsInLease
+	ended := make(chan struct{}, 1)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	own, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-c.clock.After(wait):
-		}
-		sent := c.clock.Now()
-		err := c.renew(ctx)
-		var rejected *fulmarjob.RejectedError
-		switch {
-		case err == nil:
-			c.validUntil.Store(int64(sent + c.ttl))
-		case errors.As(err, &rejected):
-			c.validUntil.Store(0)
+		case <-ended:
 			return &LostError{Cause: "its lease has ended"}
-		case ctx.Err() == nil:
-			onFailure(err)
+		case <-c.clock.After(wait):
 		}
+		calls.Go(func() {
+			if c.renew(own, onFailure) {
+				return
+			}
+			select {
+			case ended <- struct{}{}:
+			default:
+			}
+		})
 	}
 }
 
-func (c *Claim) renew(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, (c.ttl / 2).Duration())
+// renew renews once and tells whether the lease may last.
+func (c *Claim) renew(ctx context.Context, onFailure func(error)) bool {
+	limited, cancel := context.WithTimeout(ctx, c.ttl.Duration())
 	defer cancel()
-	return c.store.Keep(limited, c.lease)
+	sent := c.clock.Now()
+	err := c.store.Keep(limited, c.lease)
+	var rejected *fulmarjob.RejectedError
+	switch {
+	case err == nil:
+		c.extend(sent + c.ttl)
+	case errors.As(err, &rejected):
+		c.validUntil.Store(0)
+		return false
+	case ctx.Err() == nil:
+		onFailure(err)
+	}
+	return true
+}
+
+// extend notes that the lease lasts until a time, unless it has ended or lasts longer.
+func (c *Claim) extend(until fulmarclock.Millis) {
+	for {
+		present := c.validUntil.Load()
+		if present == 0 || present >= int64(until) || c.validUntil.CompareAndSwap(present, int64(until)) {
+			return
+		}
+	}
 }
 
 // Release gives the scheduler back, so that another member can take it at once.
--- a/internal/fulmarledger/journal.go
+++ b/internal/fulmarledger/journal.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
@@ -26,6 +27,11 @@
 	movedRecords = 24
 	// removedSegments bounds the segments that one append removes.
 	removedSegments = 24
+	// An append is sent again after hedgeOverUsual times its usual time, but not before leastHedge.
+	hedgeOverUsual = 4.0
+	leastHedge     = 60 * fulmarclock.Millis(1)
+	mostHedges     = 4
+	usualWeight    = 0.2
 	// retryPause is the wait before an append that was not carried out is sent again.
 	retryPause = 40 * fulmarclock.Millis(1)
 	// appendLimit bounds the wait for one answer of the store.
@@ -55,6 +61,8 @@
 	segments []*segment
 	newest   map[string]*segment
 	retries  func(error)
+	// usual is the usual time of an append in milliseconds.
+	usual float64
 }
 
 // Open reads the journal of all owners so far and returns the records that hold.
@@ -201,12 +209,30 @@
 	}
 }
 
-// attempt sends the transaction once. A conflict on the head alone, with this
+// hedge sends a transaction again when it takes much longer than usual.
+func (j *Journal) hedge() fulmarhedge.Plan {
+	after := fulmarclock.Millis(j.usual * hedgeOverUsual)
+	return fulmarhedge.Plan{After: min(max(after, leastHedge), appendLimit/2), Most: mostHedges}
+}
+
+// isSettled tells whether the store has answered, be it with a conflict.
+func isSettled(_ int64, err error) bool {
+	var unknown *fulmarjob.UnknownError
+	return !errors.As(err, &unknown)
+}
+
+// attempt sends the transaction, also beside a copy that is not answered. A conflict on the head alone, with this
 // append's sequence in it, means that an earlier attempt was carried out.
 func (j *Journal) attempt(ctx context.Context, t Transaction, sequence int64) (int64, error) {
 	limited, cancel := context.WithTimeout(ctx, appendLimit.Duration())
 	defer cancel()
-	revision, err := j.store.Commit(limited, t)
+	began := j.clock.Now()
+	revision, err := fulmarhedge.Do(limited, j.clock, j.hedge(), func(own context.Context) (int64, error) {
+		return j.store.Commit(own, t)
+	}, isSettled)
+	if err == nil {
+		j.usual += (float64(j.clock.Now()-began) - j.usual) * usualWeight
+	}
 	var conflict *ConflictError
 	if !errors.As(err, &conflict) {
 		return revision, err
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -1,6 +1,9 @@
 package fulmarowner
 
-import "github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+import (
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
+)
 
 const (
 	// vacancyCheck is how often a member looks whether the scheduler has an owner.
@@ -18,6 +21,8 @@
 	orderLimit = 800 * fulmarclock.Millis(1)
 	// holdSlack is added to the time that a renewal may wait for an end.
 	holdSlack = 1000 * fulmarclock.Millis(1)
+	// holdHedges bounds the copies of a renewal.
+	holdHedges = 2
 	// fleetLimit bounds the wait for an answer to an order on a VM.
 	fleetLimit = 1500 * fulmarclock.Millis(1)
 	// listEvery is the time between two lists of the platform's VMs.
@@ -33,3 +38,6 @@
 	// executorPause passes between two watches of the executors' entries.
 	executorPause = 30 * fulmarclock.Millis(1)
 )
+
+// orderHedge is how an order to an executor is repeated beside an unanswered copy.
+var orderHedge = fulmarhedge.Plan{After: 120, Most: 4}
--- a/internal/fulmarowner/order.go
+++ b/internal/fulmarowner/order.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
@@ -33,7 +35,9 @@
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
 	began := r.options.Clock.Now()
-	answer, err := r.options.Executors.Start(limited, o.Target.Address, o.Target.ID, o.Start)
+	answer, err := fulmarhedge.Do(limited, r.options.Clock, orderHedge, func(own context.Context) (fulmarjob.Answer, error) {
+		return r.options.Executors.Start(own, o.Target.Address, o.Target.ID, o.Start)
+	}, isAnswered)
 	r.noteOrder("start", o.Target.ID, answer, err)
 	r.options.Counters.Observe("start_order", r.options.Clock.Now()-began)
 	r.send(startAnswered{o, answer})
@@ -42,7 +46,9 @@
 func (r *reign) stop(ctx context.Context, o fulmarsched.StopOrder) {
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
-	answer, err := r.options.Executors.Stop(limited, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token)
+	answer, err := fulmarhedge.Do(limited, r.options.Clock, orderHedge, func(own context.Context) (fulmarjob.Answer, error) {
+		return r.options.Executors.Stop(own, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token)
+	}, isAnswered)
 	r.noteOrder("stop", o.Target.ID, answer, err)
 	r.send(stopAnswered{o, answer})
 }
@@ -51,11 +57,29 @@
 	limited, cancel := context.WithTimeout(ctx, (o.Wait + holdSlack).Duration())
 	defer cancel()
 	sent := r.options.Clock.Now()
-	answer, report, err := r.options.Executors.Hold(limited, o.Target.Address, o.Target.ID, o.Token, o.Acknowledged, o.Deadline, o.Wait)
-	r.noteOrder("hold", o.Target.ID, answer, err)
-	r.send(holdAnswered{order: o, sent: sent, answer: answer, report: report})
+	var copies atomic.Int32
+	plan := fulmarhedge.Plan{After: o.Wait + orderHedge.After, Most: holdHedges}
+	result, err := fulmarhedge.Do(limited, r.options.Clock, plan, func(own context.Context) (held, error) {
+		wait := o.Wait
+		if copies.Add(1) > 1 {
+			wait = 0
+		}
+		answer, report, err := r.options.Executors.Hold(own, o.Target.Address, o.Target.ID, o.Token, o.Acknowledged, o.Deadline, wait)
+		return held{answer, report}, err
+	}, func(h held, err error) bool { return isAnswered(h.answer, err) })
+	r.noteOrder("hold", o.Target.ID, result.answer, err)
+	r.send(holdAnswered{order: o, sent: sent, answer: result.answer, report: result.report})
+}
+
+// held is an executor's answer to a renewal.
+type held struct {
+	answer fulmarjob.Answer
+	report fulmarjob.Report
 }
 
+// isAnswered tells whether an executor has answered an order.
+func isAnswered(answer fulmarjob.Answer, _ error) bool { return answer != fulmarjob.AnswerUnknown }
+
 func (r *reign) pace(ctx context.Context, o fulmarsched.PaceOrder) {
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
