A new owner orders free VMs at once and keeps what was learned; shorter ownership lease

Cause: after each change of the owner no VM moved for lease_duration (3 s) and durations were learned anew, both in the middle of bursts. Every order on a VM is journaled before it is sent, so only the VMs with a record must wait.

--- a/internal/fulmarnode/settings.go
+++ b/internal/fulmarnode/settings.go
@@ -50,7 +50,7 @@
 const millisInSecond = 1000
 
 // The ownership lease is this many times the shortest lease of the store.
-const leaseOverMinimum = 1.6
+const leaseOverMinimum = 1.25
 
 // fallback figures stand for bounds that the file leaves out.
 var fallback = BoundSettings{
--- a/internal/fulmarsched/forecast.go
+++ b/internal/fulmarsched/forecast.go
@@ -1,14 +1,19 @@
 package fulmarsched
 
 import (
+	"encoding/json"
 	"math"
+	"strings"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
 const (
 	// forecastDecay is the weight that older durations keep at each new one.
 	forecastDecay = 0.995
+	// learnedEvery is the time between two records of what was learned.
+	learnedEvery = 2 * fulmarclock.Second
 	// priorRuns is the weight of the assumption that declarations are right, in runs.
 	priorRuns = 6.0
 	// priorSpread is the variance of the logarithm of a declaration under that assumption.
@@ -25,10 +30,61 @@
 	// variance and covariance are weighted sums of squares about the means.
 	variance   float64
 	covariance float64
+	// dirty tells that the journal does not hold the newest figures.
+	dirty bool
+}
+
+// forecastKey is the prefix of the records of forecasts.
+const forecastKey = "f/"
+
+// forecastRecord is a forecast in the journal.
+type forecastRecord struct {
+	Weight     float64 `json:"w"`
+	Declared   float64 `json:"d"`
+	Took       float64 `json:"t"`
+	Variance   float64 `json:"v"`
+	Covariance float64 `json:"c"`
+}
+
+func (f *forecast) record() forecastRecord {
+	return forecastRecord{f.weight, f.declared, f.took, f.variance, f.covariance}
+}
+
+// restoreForecasts takes in what the owners before have learned.
+func (s *Scheduler) restoreForecasts(records []Record) error {
+	for _, r := range records {
+		key, found := strings.CutPrefix(r.Key, forecastKey)
+		if !found {
+			continue
+		}
+		var w forecastRecord
+		if err := json.Unmarshal(r.Value, &w); err != nil {
+			return &fulmarjob.FormatError{What: r.Key, Cause: err}
+		}
+		s.learned[key] = &forecast{weight: w.Weight, declared: w.Declared, took: w.Took, variance: w.Variance, covariance: w.Covariance}
+	}
+	return nil
+}
+
+// forecastRecords returns the forecasts that have changed, now and then.
+func (s *Scheduler) forecastRecords() []Record {
+	if s.now < s.learnedAt+learnedEvery {
+		return nil
+	}
+	s.learnedAt = s.now
+	var records []Record
+	for _, key := range sortedKeys(s.learned) {
+		if f := s.learned[key]; f.dirty {
+			f.dirty = false
+			records = append(records, encode(forecastKey+key, f.record()))
+		}
+	}
+	return records
 }
 
 // learn takes in one run.
 func (f *forecast) learn(declared, took fulmarclock.Millis) {
+	f.dirty = true
 	x, y := logOf(declared), logOf(took)
 	if f.weight == 0 {
 		// The first run starts from the assumption that declarations are right.
--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -56,7 +56,10 @@
 	// beforeID and beforeBorn are the life of the executor that the move ends.
 	beforeID   string
 	beforeBorn int64
-	ending     bool
+	// ending moves count no more; their record stays until no other owner can order the VM too soon after them.
+	ending    bool
+	ended     fulmarclock.Millis
+	forgotten bool
 }
 
 // moveRecord is a move in the journal.
@@ -79,7 +82,7 @@
 // idle ones, and idle VMs to standby. It answers demand that turns from queue to
 // queue and asks for more than a pool holds.
 func (s *Scheduler) balance() {
-	if s.now < s.openedAt+s.bounds.OwnerPause || s.configuration == nil {
+	if s.configuration == nil {
 		return
 	}
 	s.driveMoves()
@@ -143,7 +146,7 @@
 			continue
 		}
 		listed[e.info.VM] = true
-		if s.moves[e.info.VM] != nil || !e.isUsable(s.now) {
+		if s.isMoving(e.info.VM) || !e.isUsable(s.now) {
 			continue
 		}
 		z.have++
@@ -157,7 +160,7 @@
 		}
 	}
 	for _, v := range s.vms {
-		if z := byName[v.Pool]; z != nil && z.standby && v.Up && s.moves[v.Name] == nil && !s.isInUpkeep(v.Name) {
+		if z := byName[v.Pool]; z != nil && z.standby && v.Up && !s.isMoving(v.Name) && !s.isInUpkeep(v.Name) {
 			z.parked = append(z.parked, v.Name)
 		}
 	}
@@ -169,6 +172,11 @@
 	}
 }
 
+func (s *Scheduler) isMoving(vm string) bool {
+	m := s.moves[vm]
+	return m != nil && !m.ending
+}
+
 func (s *Scheduler) isInUpkeep(vm string) bool {
 	for _, w := range s.waves {
 		for _, u := range w.vms {
@@ -242,7 +250,7 @@
 
 // beginMove chooses a move; its order goes out when the journal holds it.
 func (s *Scheduler) beginMove(vm, from, to string, e *executor) bool {
-	if vm == "" || s.barred[vm+" "+to] || s.moves[vm] != nil {
+	if vm == "" || s.barred[vm+" "+to] || s.isMoving(vm) || s.mayBeOrdered(vm) {
 		return false
 	}
 	m := &vmMove{vm: vm, from: from, to: to, chosen: s.now}
@@ -262,7 +270,9 @@
 	for _, vm := range sortedKeys(s.moves) {
 		m := s.moves[vm]
 		switch {
-		case m.ending || !m.stored:
+		case m.ending:
+			s.forgetMove(m)
+		case !m.stored || s.mayBeOrdered(vm):
 		case m.ordered > 0:
 			s.settleMove(m)
 		case s.now > m.chosen+moveGivenUp:
@@ -297,8 +307,7 @@
 }
 
 func (s *Scheduler) endMove(m *vmMove, why string) {
-	m.ending = true
-	s.moved = append(s.moved, m)
+	m.ending, m.ended = true, s.now
 	s.log.Decide("move ended", "vm", m.vm, "to", m.to, "why", why, "took_ms", s.now-m.chosen)
 	for _, e := range s.executors {
 		if e.info.VM == m.vm && !e.retired && !s.isInUpkeep(m.vm) {
@@ -307,6 +316,20 @@
 	}
 }
 
+// forgetMove removes the record of a move that ended long enough ago.
+func (s *Scheduler) forgetMove(m *vmMove) {
+	if !m.forgotten && s.now > m.sent+s.bounds.OwnerPause {
+		m.forgotten = true
+		s.moved = append(s.moved, m)
+	}
+}
+
+// mayBeOrdered tells whether the owner before may have ordered a VM so shortly ago
+// that this owner must wait. Every order is in the journal before it is sent.
+func (s *Scheduler) mayBeOrdered(vm string) bool {
+	return s.inherited[vm] && s.now < s.openedAt+s.bounds.OwnerPause
+}
+
 // MoveAnswered takes in what the platform said to a move.
 func (s *Scheduler) MoveAnswered(now fulmarclock.Millis, vm, pool string, done, impossible bool) {
 	s.now = now
@@ -350,7 +373,7 @@
 
 func (s *Scheduler) moveRecord(vm string) Record {
 	m := s.moves[vm]
-	if m == nil || m.ending {
+	if m == nil || m.forgotten {
 		return Record{Key: moveKey + vm}
 	}
 	return encode(moveKey+vm, moveRecord{To: m.to, ID: m.beforeID, Born: m.beforeBorn})
@@ -360,7 +383,7 @@
 func (s *Scheduler) settleMoves(moved []*vmMove) {
 	for _, m := range moved {
 		m.stored = true
-		if m.ending && s.moves[m.vm] == m {
+		if m.forgotten && s.moves[m.vm] == m {
 			delete(s.moves, m.vm)
 		}
 	}
@@ -371,6 +394,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return err
 	}
+	s.inherited[vm] = true
 	s.moves[vm] = &vmMove{vm: vm, to: r.To, stored: true, chosen: s.now + s.bounds.OwnerPause, beforeID: r.ID, beforeBorn: r.Born}
 	return nil
 }
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -61,6 +61,7 @@
 	s.dirty = nil
 	records = append(records, s.silenceRecords()...)
 	records = append(records, s.moveRecords()...)
+	records = append(records, s.forecastRecords()...)
 	for _, w := range s.waves {
 		if w.dirty {
 			w.dirty = false
@@ -106,6 +107,9 @@
 	if id, found := strings.CutPrefix(key, silenceKey); found {
 		return s.silenceRecord(id)
 	}
+	if learned, found := strings.CutPrefix(key, forecastKey); found && s.learned[learned] != nil {
+		return encode(key, s.learned[learned].record())
+	}
 	if vm, found := strings.CutPrefix(key, moveKey); found {
 		return s.moveRecord(vm)
 	}
@@ -165,6 +169,9 @@
 // Restore takes in the journal of the owners before.
 func (s *Scheduler) Restore(now fulmarclock.Millis, unix int64, records []Record) error {
 	s.now, s.unix = now, unix
+	if err := s.restoreForecasts(records); err != nil {
+		return err
+	}
 	progress := map[string]json.RawMessage{}
 	for _, r := range records {
 		if id, found := strings.CutPrefix(r.Key, progressKey); found {
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -69,6 +69,7 @@
 	w := &wave{wave: fulmarjob.Wave{Number: r.Number, MaxDown: r.MaxDown, Within: r.Within}, seen: s.now}
 	for _, v := range r.VMs {
 		w.wave.VMs = append(w.wave.VMs, v.Name)
+		s.inherited[v.Name] = s.inherited[v.Name] || v.Chosen
 		w.vms = append(w.vms, &vmUpkeep{vm: v.Name, chosen: v.Chosen, stored: v.Chosen, done: v.Done, beforeID: v.ID, beforeBorn: v.Born})
 	}
 	s.waves[r.Number] = w
@@ -100,9 +101,6 @@
 
 // driveWaves chooses the VMs that go down next, empties them and orders their upkeep.
 func (s *Scheduler) driveWaves() {
-	if s.now < s.openedAt+s.bounds.OwnerPause {
-		return
-	}
 	for _, number := range s.waveNumbers() {
 		w := s.waves[number]
 		if !w.completed {
@@ -167,7 +165,7 @@
 	bestWork := 0.0
 	hurry := s.mustHurry(w)
 	for _, u := range w.vms {
-		if u.chosen || u.done || s.moves[u.vm] != nil {
+		if u.chosen || u.done || s.isMoving(u.vm) || s.mayBeOrdered(u.vm) {
 			continue
 		}
 		e := s.executorOfVM(u.vm)
@@ -245,7 +243,7 @@
 			s.settleVM(w, u)
 			continue
 		}
-		if !s.emptyVM(u) || !u.stored || u.sent > 0 && s.now < u.sent+orderRetry {
+		if !s.emptyVM(u) || !u.stored || s.mayBeOrdered(u.vm) || u.sent > 0 && s.now < u.sent+orderRetry {
 			continue
 		}
 		u.sent = s.now
