A configuration is in force once its schedulers run

Cause of the test that failed now and then (TestMovesKeepEachVMInOnePool, requests told unknown-pool in the first milliseconds): the view had the new configuration before the duty that follows it had started the pool's scheduler, and the entry looked at both. The entry now sees the configuration that the schedulers follow; until then it answers no-configuration and the balancer is told not-ready. Ruled out: the moves under test, a second member's digest.

--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -81,7 +81,9 @@
 	entry      *fulmarentry.Entry
 	mover      *fulmarmove.Mover
 	// applied is the sequence of the assignments that the schedulers follow.
-	applied   atomic.Int64
+	applied atomic.Int64
+	// inForce is the configuration that the schedulers follow.
+	inForce   atomic.Pointer[fulmarconfig.Record]
 	announced atomic.Bool
 	fence     atomic.Pointer[fenceLook]
 
@@ -216,8 +218,15 @@
 	return fulmardispatch.LeastLoaded{}
 }
 
-// Record returns the configuration in force.
-func (d *Daemon) Record() fulmarconfig.Record { return d.fleet.View().Record() }
+// Record returns the configuration in force: the newest one that all of this
+// member's schedulers follow. A configuration that is known and not yet applied
+// is not in force, so no caller sees a half of it.
+func (d *Daemon) Record() fulmarconfig.Record {
+	if record := d.inForce.Load(); record != nil {
+		return *record
+	}
+	return fulmarconfig.Record{}
+}
 
 // Loads returns the demand of each pool with any.
 func (d *Daemon) Loads() map[string]int { return d.pools.Loads() }
@@ -315,6 +324,8 @@
 		return
 	}
 	d.pools.Apply(plansOf(view, d.clock.Now(), d.settings.Limits.WorkerConnection))
+	record := view.Record()
+	d.inForce.Store(&record)
 	addresses := map[string]bool{}
 	for _, vm := range view.Workers(d.clock.Now()) {
 		addresses[vm.Address] = true
--- /dev/null
+++ b/internal/fulmardaemon/inforce_test.go
@@ -0,0 +1,28 @@
+package fulmardaemon_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarconfig"
+)
+
+// A member that knows a configuration whose schedulers do not run yet must not
+// answer by it: its callers were told that a pool of the configuration is unknown.
+func TestAConfigurationIsInForceOnceItsSchedulersRun(t *testing.T) {
+	t.Parallel()
+	f := startFleet(qt.New(t), 1, 0)
+	defer f.close()
+	m := f.members[0]
+	document := fulmarconfig.Document{Pools: map[string]fulmarconfig.Pool{"q": {VMs: 1}}}
+	m.daemon.LearnRecord(fulmarconfig.Record{Generation: 1 << 40, Document: document})
+	for range 1000 {
+		if m.daemon.Record().Generation == 1<<40 {
+			f.c.Assert(m.daemon.HasScheduler("q"), qt.IsTrue)
+		}
+	}
+	m.daemon.Apply()
+	f.c.Assert(m.daemon.HasScheduler("q"), qt.IsTrue)
+	f.c.Assert(m.daemon.Record().Generation, qt.Equals, fulmarconfig.Record{Generation: 1 << 40}.Generation)
+}
