--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -19,6 +19,8 @@
 	balanceEvery = 100 * fulmarclock.Millis(1)
 	// backlogHorizon is how soon waiting work should have begun.
 	backlogHorizon = 1000 * fulmarclock.Millis(1)
+	// laterHorizon is how soon the work of later steps follows.
+	laterHorizon = 3000 * fulmarclock.Millis(1)
 	// targetFill is the part of a VM that short tasks can fill, as they come in lumps.
 	targetFill = 0.85
 	// spareVMs stay in a pool beyond its need.
@@ -134,7 +136,9 @@
 	if each == 0 {
 		return leastVMs
 	}
-	cores := float64(p.used.MilliCPU) + p.backlog/float64(backlogHorizon) + s.refusedRate(p.service)
+	// Later steps follow on those that run now, so they need room of their own only where they are more.
+	running := max(float64(p.used.MilliCPU), (p.backlog-p.due)/float64(laterHorizon))
+	cores := running + p.due/float64(backlogHorizon) + s.refusedRate(p.service)
 	return max(int(math.Ceil(cores/(targetFill*each)))+spareVMs, leastVMs)
 }
 
--- a/internal/fulmarsched/pool.go
+++ b/internal/fulmarsched/pool.go
@@ -24,8 +24,9 @@
 	ready   int
 	// lasting is what lasting tasks take.
 	lasting fulmarjob.Resources
-	// backlog is the waiting work in milliseconds of a thousandth of a core.
+	// backlog is the waiting work in milliseconds of a thousandth of a core, due the part of it whose turn has come.
 	backlog float64
+	due     float64
 }
 
 // vmCores returns the mean thousandths of a core of the pool's VMs.
@@ -85,11 +86,14 @@
 		}
 		p.waiting += waiting
 		step := &j.specification.Steps[i]
+		work := 0.0
 		if !step.Lasting {
-			p.backlog += float64(waiting) * float64(step.Need.MilliCPU) * float64(s.estimate(j, step))
+			work = float64(waiting) * float64(step.Need.MilliCPU) * float64(s.estimate(j, step))
 		}
+		p.backlog += work
 		if o.stepReady(j, i) {
 			p.ready += waiting
+			p.due += work
 		}
 	}
 }
