Contract tests of the adapter, tables of the callers' side, followers; the owner waits for the member's configuration

A member tells the owner the version by which it chose the queue; an owner that knows only an older one has the member ask again instead of refusing a queue that exists.

--- /dev/null
+++ b/internal/fulmarfollow/follow_test.go
@@ -0,0 +1,104 @@
+package fulmarfollow
+
+import (
+	"context"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
+)
+
+// scriptedStore answers ranges and watches in turn.
+type scriptedStore struct {
+	ranges  []fulmarledger.Page
+	watches []answer
+	after   []int64
+	done    context.CancelFunc
+}
+
+type answer struct {
+	page fulmarledger.Page
+	err  error
+}
+
+func (s *scriptedStore) Range(context.Context, string, string) (fulmarledger.Page, error) {
+	page := s.ranges[0]
+	s.ranges = s.ranges[1:]
+	return page, nil
+}
+
+func (s *scriptedStore) Watch(_ context.Context, _ string, after int64, _ fulmarclock.Millis) (fulmarledger.Page, error) {
+	s.after = append(s.after, after)
+	a := s.watches[0]
+	s.watches = s.watches[1:]
+	if len(s.watches) == 0 {
+		s.done()
+	}
+	return a.page, a.err
+}
+
+// immediate lets no time pass in waits.
+type immediate struct{ fulmarclock.Clock }
+
+func (immediate) After(fulmarclock.Millis) <-chan fulmarclock.Millis {
+	done := make(chan fulmarclock.Millis, 1)
+	done <- 0
+	return done
+}
+
+func item(key string, revision int64) fulmarledger.Item {
+	return fulmarledger.Item{Key: key, Revision: revision}
+}
+
+func follow(s *scriptedStore) (changes []fulmarledger.Item, failures, regained int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.done = cancel
+	New(Options{
+		Store: s, Clock: immediate{}, Prefix: "p/",
+		Changed: func(i fulmarledger.Item) { changes = append(changes, i) }, Synced: func() {},
+		Failed: func(error) { failures++ }, Regained: func() { regained++ },
+	}).Run(ctx)
+	return changes, failures, regained
+}
+
+func TestChangesArriveOnceAndInOrder(t *testing.T) {
+	s := &scriptedStore{
+		ranges: []fulmarledger.Page{
+			{Items: []fulmarledger.Item{item("p/a", 3)}, More: true, Revision: 5},
+			{Items: []fulmarledger.Item{item("p/b", 6)}, Revision: 7},
+		},
+		watches: []answer{
+			{page: fulmarledger.Page{Items: []fulmarledger.Item{item("p/b", 6), item("p/a", 8)}, Revision: 8}},
+			{err: &fulmarjob.UnknownError{Call: "watch", Cause: context.DeadlineExceeded}},
+			{page: fulmarledger.Page{Items: []fulmarledger.Item{{Key: "p/a", Revision: 9, Removed: true}}, Revision: 9}},
+		},
+	}
+	changes, failures, regained := follow(s)
+	quicktest.Assert(t, changes, quicktest.DeepEquals, []fulmarledger.Item{
+		item("p/a", 3), item("p/b", 6), item("p/a", 8), {Key: "p/a", Revision: 9, Removed: true},
+	})
+	quicktest.Assert(t, s.after, quicktest.DeepEquals, []int64{5, 8, 8})
+	quicktest.Assert(t, failures, quicktest.Equals, 1)
+	quicktest.Assert(t, regained, quicktest.Equals, 1)
+}
+
+func TestWhatVanishedWithTheHistoryIsGone(t *testing.T) {
+	s := &scriptedStore{
+		ranges: []fulmarledger.Page{
+			{Items: []fulmarledger.Item{item("p/a", 3), item("p/b", 4)}, Revision: 5},
+			{Items: []fulmarledger.Item{item("p/b", 4), item("p/c", 9)}, Revision: 10},
+		},
+		watches: []answer{
+			{err: &fulmarjob.ForgottenError{Call: "watch"}},
+			{page: fulmarledger.Page{Revision: 10}},
+		},
+	}
+	changes, failures, _ := follow(s)
+	quicktest.Assert(t, changes, quicktest.DeepEquals, []fulmarledger.Item{
+		item("p/a", 3), item("p/b", 4), item("p/c", 9), {Key: "p/a", Revision: 10, Removed: true},
+	})
+	quicktest.Assert(t, failures, quicktest.Equals, 0)
+}
--- a/internal/fulmarfront/asker.go
+++ b/internal/fulmarfront/asker.go
@@ -171,7 +171,10 @@
 
 // Ask hands a member's question to this member's scheduler.
 func (a *Asker) Ask(ctx context.Context, request *fulmarfrontpb.Request) (*fulmarfrontpb.Reply, error) {
-	q := fulmarowner.Question{Kind: fulmarowner.Kind(request.GetKind()), Job: request.GetJob(), Queue: request.GetQueue()}
+	q := fulmarowner.Question{
+		Kind: fulmarowner.Kind(request.GetKind()), Job: request.GetJob(), Queue: request.GetQueue(),
+		Version: request.GetConfigurationVersion(),
+	}
 	if q.Kind == fulmarowner.Submit {
 		if err := json.Unmarshal(request.GetSpecification(), &q.Specification); err != nil {
 			return nil, status.Error(codes.InvalidArgument, (&fulmarjob.FormatError{What: "a job", Cause: err}).Error())
@@ -185,7 +188,7 @@
 }
 
 func encodeQuestion(q fulmarowner.Question) (*fulmarfrontpb.Request, error) {
-	request := &fulmarfrontpb.Request{Kind: fulmarfrontpb.Kind(q.Kind), Job: q.Job, Queue: q.Queue}
+	request := &fulmarfrontpb.Request{Kind: fulmarfrontpb.Kind(q.Kind), Job: q.Job, Queue: q.Queue, ConfigurationVersion: q.Version}
 	if q.Kind != fulmarowner.Submit {
 		return request, nil
 	}
--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -100,7 +100,7 @@
 	}
 	switch k.method {
 	case http.MethodPost:
-		return f.submit(ctx, c, k)
+		return f.submit(ctx, c, k, configuration.Version)
 	case http.MethodGet:
 		return f.state(ctx, c, k)
 	case http.MethodDelete:
@@ -132,7 +132,7 @@
 	return max(fulmarclock.Millis(wait)-answerMargin, answerMargin)
 }
 
-func (f *Front) submit(ctx context.Context, c echo.Context, k call) error {
+func (f *Front) submit(ctx context.Context, c echo.Context, k call, version int64) error {
 	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBodyBytes+1))
 	if err != nil {
 		return f.refuse(c, k, http.StatusBadRequest, "body-unreadable", 0)
@@ -149,7 +149,7 @@
 		return f.refuse(c, k, http.StatusBadRequest, "job-malformed", 0)
 	}
 	reply := f.options.Owner.Ask(ctx, fulmarowner.Question{
-		Kind: fulmarowner.Submit, Job: k.id, Queue: k.queue.Name, Specification: specification,
+		Kind: fulmarowner.Submit, Job: k.id, Queue: k.queue.Name, Specification: specification, Version: version,
 	})
 	switch reply.Outcome {
 	case fulmarowner.Done:
--- /dev/null
+++ b/internal/fulmarfront/front_test.go
@@ -0,0 +1,177 @@
+package fulmarfront
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarowner"
+)
+
+const testJob = "5c0e7a21d94b36f8"
+
+type noCounters struct{}
+
+func (noCounters) Count(string, string)               {}
+func (noCounters) Observe(string, fulmarclock.Millis) {}
+
+type plainFormat struct{}
+
+func (plainFormat) Job(body []byte) (fulmarjob.Specification, error) {
+	if string(body) == "broken" {
+		return fulmarjob.Specification{}, errors.New("broken")
+	}
+	return fulmarjob.Specification{Steps: []fulmarjob.Step{{Count: len(body)}}}, nil
+}
+func (plainFormat) State(state fulmarjob.State) any { return map[string]string{"state": string(state)} }
+func (plainFormat) Pending(jobs int) any            { return map[string]int{"pending": jobs} }
+func (plainFormat) DeadlineHeader() string          { return "Deadline" }
+
+// oneReply is an owner that always gives the same reply.
+type oneReply struct {
+	reply fulmarowner.Reply
+	asked []fulmarowner.Question
+}
+
+func (o *oneReply) Ask(_ context.Context, q fulmarowner.Question) fulmarowner.Reply {
+	o.asked = append(o.asked, q)
+	return o.reply
+}
+
+func testFront(owner Owner, configuration *fulmarjob.Configuration) *Front {
+	return New(Options{
+		Clock: fulmarclock.NewManual(0), Logger: log.New(io.Discard), Counters: noCounters{}, Format: plainFormat{},
+		Owner: owner, Configuration: func() *fulmarjob.Configuration { return configuration },
+	})
+}
+
+func oneQueue() *fulmarjob.Configuration {
+	return &fulmarjob.Configuration{Version: 7, Queues: []fulmarjob.Queue{{Name: "q", Host: "h.example", Prefix: "/a/"}}}
+}
+
+func TestAnswers(t *testing.T) {
+	reply := func(o fulmarowner.Outcome) fulmarowner.Reply {
+		return fulmarowner.Reply{Outcome: o, State: fulmarjob.Running, Pending: 3, RetryAfter: 1500}
+	}
+	for _, row := range []struct {
+		name, method, path, host, body string
+		reply                          fulmarowner.Reply
+		unconfigured                   bool
+		status                         int
+		retryAfter, answer             string
+	}{
+		{name: "accepted", method: "POST", path: "/a/" + testJob, body: "x", reply: reply(fulmarowner.Done), status: 200},
+		{name: "refused", method: "POST", path: "/a/" + testJob, body: "x", reply: reply(fulmarowner.Refused), status: 429, retryAfter: "2"},
+		{name: "nobody owns the scheduler", method: "POST", path: "/a/" + testJob, body: "x", reply: reply(fulmarowner.NotOwner), status: 503, retryAfter: "1"},
+		{name: "perhaps taken in", method: "POST", path: "/a/" + testJob, body: "x", reply: reply(fulmarowner.Unknown), status: 504, retryAfter: "1"},
+		{name: "malformed", method: "POST", path: "/a/" + testJob, body: "broken", status: 400},
+		{name: "no tasks", method: "POST", path: "/a/" + testJob, status: 400},
+		{name: "too large", method: "POST", path: "/a/" + testJob, body: strings.Repeat("x", maxBodyBytes+1), status: 413},
+		{name: "state", method: "GET", path: "/a/" + testJob, reply: reply(fulmarowner.Done), status: 200, answer: "{\"state\":\"running\"}\n"},
+		{name: "no such job", method: "GET", path: "/a/" + testJob, reply: reply(fulmarowner.UnknownJob), status: 410},
+		{name: "state without owner", method: "GET", path: "/a/" + testJob, reply: reply(fulmarowner.NotOwner), status: 503, retryAfter: "1"},
+		{name: "state without reply", method: "GET", path: "/a/" + testJob, reply: reply(fulmarowner.Unknown), status: 503, retryAfter: "1"},
+		{name: "cancelled", method: "DELETE", path: "/a/" + testJob, reply: reply(fulmarowner.Done), status: 200},
+		{name: "cancel of no job", method: "DELETE", path: "/a/" + testJob, reply: reply(fulmarowner.UnknownJob), status: 410},
+		{name: "cancel perhaps done", method: "DELETE", path: "/a/" + testJob, reply: reply(fulmarowner.Unknown), status: 504, retryAfter: "1"},
+		{name: "pending", method: "GET", path: "/a/", reply: reply(fulmarowner.Done), status: 200, answer: "{\"pending\":3}\n"},
+		{name: "another path", method: "GET", path: "/b/" + testJob, status: 404},
+		{name: "another host", method: "GET", path: "/a/" + testJob, host: "other.example", status: 404},
+		{name: "not an ID", method: "POST", path: "/a/job", body: "x", status: 404},
+		{name: "another method", method: "PUT", path: "/a/" + testJob, status: 405},
+		{name: "no configuration", method: "POST", path: "/a/" + testJob, unconfigured: true, status: 503, retryAfter: "1"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			configuration := oneQueue()
+			if row.unconfigured {
+				configuration = nil
+			}
+			request := httptest.NewRequest(row.method, row.path, strings.NewReader(row.body))
+			request.Host = "h.example:8624"
+			if row.host != "" {
+				request.Host = row.host
+			}
+			recorder := httptest.NewRecorder()
+			testFront(&oneReply{reply: row.reply}, configuration).Handler().ServeHTTP(recorder, request)
+			quicktest.Assert(t, recorder.Code, quicktest.Equals, row.status)
+			quicktest.Assert(t, recorder.Header().Get("Retry-After"), quicktest.Equals, row.retryAfter)
+			if row.answer != "" {
+				quicktest.Assert(t, recorder.Body.String(), quicktest.Equals, row.answer)
+			}
+		})
+	}
+}
+
+func TestTheOwnerIsToldTheVersionOfTheConfiguration(t *testing.T) {
+	owner := &oneReply{reply: fulmarowner.Reply{Outcome: fulmarowner.Done}}
+	request := httptest.NewRequest(http.MethodPost, "/a/"+testJob, strings.NewReader("x"))
+	request.Host = "h.example"
+	testFront(owner, oneQueue()).Handler().ServeHTTP(httptest.NewRecorder(), request)
+	quicktest.Assert(t, owner.asked[0].Version, quicktest.Equals, int64(7))
+}
+
+// scriptedCandidate gives its replies in turn, and the last one for ever.
+type scriptedCandidate struct {
+	replies []fulmarowner.Reply
+	asked   int
+}
+
+func (s *scriptedCandidate) Ask(context.Context, fulmarowner.Question) fulmarowner.Reply {
+	r := s.replies[min(s.asked, len(s.replies)-1)]
+	s.asked++
+	return r
+}
+func (s *scriptedCandidate) Owner() (fulmarledger.Owner, bool) {
+	return fulmarledger.Owner{Peers: "self"}, true
+}
+func (s *scriptedCandidate) OwnerChanged() <-chan struct{} { return nil }
+
+// passingClock lets its time pass in waits.
+type passingClock struct{ *fulmarclock.Manual }
+
+func (p passingClock) After(wait fulmarclock.Millis) <-chan fulmarclock.Millis {
+	p.Advance(wait)
+	done := make(chan fulmarclock.Millis, 1)
+	done <- p.Now()
+	return done
+}
+
+func TestTheRouterAsksAgainAndKeepsDoubts(t *testing.T) {
+	of := func(outcomes ...fulmarowner.Outcome) []fulmarowner.Reply {
+		var replies []fulmarowner.Reply
+		for _, o := range outcomes {
+			replies = append(replies, fulmarowner.Reply{Outcome: o})
+		}
+		return replies
+	}
+	for _, row := range []struct {
+		name    string
+		replies []fulmarowner.Reply
+		want    fulmarowner.Outcome
+	}{
+		{"an owner appears", of(fulmarowner.NotOwner, fulmarowner.NotOwner, fulmarowner.Done), fulmarowner.Done},
+		{"no owner for long", of(fulmarowner.NotOwner), fulmarowner.NotOwner},
+		{"a doubt is settled", of(fulmarowner.Unknown, fulmarowner.Done), fulmarowner.Done},
+		{"a doubt stays", of(fulmarowner.Unknown, fulmarowner.NotOwner), fulmarowner.Unknown},
+		{"a refusal after a doubt is no promise", of(fulmarowner.Unknown, fulmarowner.Refused), fulmarowner.Unknown},
+		{"a refusal", of(fulmarowner.Refused), fulmarowner.Refused},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			clock := passingClock{fulmarclock.NewManual(0)}
+			router := NewRouter(&scriptedCandidate{replies: row.replies}, clock, log.New(io.Discard), noCounters{}, "self")
+			defer router.Close()
+			reply := router.Ask(context.Background(), fulmarowner.Question{Kind: fulmarowner.Submit, Job: testJob})
+			quicktest.Assert(t, reply.Outcome, quicktest.Equals, row.want)
+		})
+	}
+}
--- a/internal/fulmarowner/question.go
+++ b/internal/fulmarowner/question.go
@@ -22,6 +22,8 @@
 	Job           string
 	Queue         string
 	Specification fulmarjob.Specification
+	// Version is the configuration by which the asking member chose the queue.
+	Version int64
 }
 
 // Outcome is what became of a question.
--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -339,9 +339,13 @@
 
 func (r *reign) submit(now fulmarclock.Millis, unix int64, q Question) (Reply, bool) {
 	configuration, _ := r.candidate.inputs()
+	if configuration == nil || configuration.Version < q.Version {
+		// The member asks again in a moment, when the owner knows the same configuration.
+		return Reply{Outcome: NotOwner, Reason: "configuration-behind"}, false
+	}
 	queue, found := configuration.QueueNamed(q.Queue)
 	if !found {
-		return Reply{Outcome: Refused, Reason: "queue-unknown", RetryAfter: fulmarclock.Second}, false
+		return Reply{Outcome: Refused, Reason: "queue-removed", RetryAfter: fulmarclock.Second}, false
 	}
 	return replyOf(r.scheduler.Submit(now, unix, fulmarsched.Submission{
 		ID: q.Job, Queue: queue, Specification: q.Specification,
