Advice: steps of queues whose executors only the advice service knows

Tickets are asked for a step at a time, the service's word is kept while it is valid, and a rejected ticket is asked anew. A stray run keeps new tasks away until its end.

--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -54,6 +54,7 @@
 	store     *fulmaradapter.Store
 	executors *fulmaradapter.Executors
 	fleet     *fulmaradapter.Fleet
+	advice    *fulmaradapter.Advice
 	candidate *fulmarowner.Candidate
 	router    *fulmarfront.Router
 	grpc      *grpc.Server
@@ -95,8 +96,9 @@
 	n.store = fulmaradapter.NewStore(n.settings.Store, n.metrics)
 	n.executors = fulmaradapter.NewExecutors(n.metrics)
 	n.fleet = fulmaradapter.NewFleet(n.settings.Fleet, n.metrics)
+	n.advice = fulmaradapter.NewAdvice(n.settings.Advice, n.metrics)
 	n.candidate = fulmarowner.NewCandidate(fulmarowner.Options{
-		Store: n.store, Executors: n.executors, Fleet: n.fleet, Reports: storeFormat{}, Entries: storeFormat{},
+		Store: n.store, Executors: n.executors, Fleet: n.fleet, Advice: n.advice, Reports: storeFormat{}, Entries: storeFormat{},
 		Clock: n.clock, Awake: fulmarclock.NewBoot(), Logger: n.logger, Counters: n.metrics,
 		Self:   fulmarledger.Owner{Member: n.settings.Member, Peers: n.settings.Peers},
 		Bounds: n.settings.Bounds.Scheduler(), Lease: n.settings.Bounds.Lease(),
@@ -201,6 +203,7 @@
 	n.store.Close()
 	n.executors.Close()
 	n.fleet.Close()
+	n.advice.Close()
 	n.metrics.Close()
 	n.logger.Info("the member has stopped")
 }
--- a/internal/fulmarowner/candidate.go
+++ b/internal/fulmarowner/candidate.go
@@ -29,6 +29,11 @@
 	Maintain(ctx context.Context, vm string, wave int64, holder string, token int64) error
 }
 
+// Advice knows which executors may run a step.
+type Advice interface {
+	Advise(ctx context.Context, step fulmarjob.TaskID, executors []string) (map[string]string, fulmarclock.Millis, error)
+}
+
 // Reports writes for operators.
 type Reports interface {
 	WaveState(number int64, completed bool) (key string, value []byte)
@@ -52,6 +57,7 @@
 	Executors Executors
 	Fleet     Fleet
 	Reports   Reports
+	Advice    Advice
 	Entries   Entries
 	Clock     fulmarclock.Clock
 	// Awake is a clock that also counts the time in which the VM was suspended.
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -27,6 +27,8 @@
 	fleetLimit = 1500 * fulmarclock.Millis(1)
 	// listEvery is the time between two lists of the platform's VMs.
 	listEvery = 1000 * fulmarclock.Millis(1)
+	// adviceLimit bounds the wait for advice, which is given in turn.
+	adviceLimit = 5 * fulmarclock.Second
 	// reportLimit bounds one attempt to write a report for operators, reportRetry the wait between two.
 	reportLimit = 1500 * fulmarclock.Millis(1)
 	reportRetry = 200 * fulmarclock.Millis(1)
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -88,6 +88,18 @@
 
 func (e vmsSeen) apply(r *reign, now fulmarclock.Millis) { r.scheduler.SeeVMs(now, e.vms) }
 
+type adviceAnswered struct {
+	order    fulmarsched.AdviseOrder
+	sent     fulmarclock.Millis
+	tickets  map[string]string
+	validity fulmarclock.Millis
+	answered bool
+}
+
+func (e adviceAnswered) apply(r *reign, now fulmarclock.Millis) {
+	r.scheduler.AdviceAnswered(now, e.sent, e.order, e.tickets, e.validity, e.answered)
+}
+
 // waiter is a caller who may be told once the journal holds what he asked for.
 type waiter struct {
 	reply   Reply
--- a/internal/fulmarowner/order.go
+++ b/internal/fulmarowner/order.go
@@ -26,6 +26,8 @@
 		r.calls.Go(func() { r.maintain(ctx, o) })
 	case fulmarsched.MoveOrder:
 		r.calls.Go(func() { r.move(ctx, o) })
+	case fulmarsched.AdviseOrder:
+		r.calls.Go(func() { r.advise(ctx, o) })
 	case fulmarsched.WaveReport:
 		r.calls.Go(func() { r.reportWave(ctx, o) })
 	}
@@ -111,6 +113,17 @@
 	r.send(upkeepAnswered{order: o, done: err == nil, impossible: impossible})
 }
 
+func (r *reign) advise(ctx context.Context, o fulmarsched.AdviseOrder) {
+	limited, cancel := context.WithTimeout(ctx, adviceLimit.Duration())
+	defer cancel()
+	sent := r.options.Clock.Now()
+	tickets, validity, err := r.options.Advice.Advise(limited, o.Step, o.Executors)
+	if err != nil {
+		r.options.Logger.Warn("advice was not given", "job", o.Step.Job, "step", o.Step.Step, "error", err)
+	}
+	r.send(adviceAnswered{order: o, sent: sent, tickets: tickets, validity: validity, answered: err == nil})
+}
+
 func (r *reign) move(ctx context.Context, o fulmarsched.MoveOrder) {
 	if !r.claim.IsValid() {
 		r.options.Logger.Warn("a move was not ordered as the claim may have ended", "vm", o.VM, "pool", o.Pool)
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -261,6 +261,9 @@
 		if t == nil || t.executor != e || t.run != r.Run {
 			s.log.Decide("stray run stopped", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index, "run", r.Run, "executor", e.info.ID)
 			s.orders = append(s.orders, StopOrder{Target: e.target(), Task: r.Task, Run: r.Run, Token: s.token})
+			// It takes room that is not accounted for until its end is listed.
+			e.avoidUntil = max(e.avoidUntil, s.now+fullPause)
+			s.scheduleHold(e, s.now+minHoldGap)
 			continue
 		}
 		s.noteRunning(t, r)
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -209,6 +209,7 @@
 	})
 	s.touch(j)
 	s.ended = append(s.ended, j)
+	s.forgetAdvice(j)
 	s.log.Decide("job ended", "job", j.id, "state", state, "why", why, "took_ms", s.now-j.received)
 }
 
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -80,16 +80,18 @@
 			if o.left[i] == 0 || !o.stepReady(j, i) {
 				continue
 			}
-			for _, t := range tasks {
-				if t.state == taskWaiting {
-					return true
-				}
+			if anyWaiting(tasks) {
+				return true
 			}
 		}
 	}
 	return false
 }
 
+func anyWaiting(tasks []*task) bool {
+	return slices.ContainsFunc(tasks, func(t *task) bool { return t.state == taskWaiting })
+}
+
 func (s *Scheduler) usableByService() map[string][]*executor {
 	pools := map[string][]*executor{}
 	for _, e := range s.executors {
@@ -109,11 +111,15 @@
 			if o.left[i] == 0 || !o.stepReady(j, i) {
 				continue
 			}
+			if !anyWaiting(tasks) {
+				continue
+			}
+			allowed := s.allowed(j, o, i, pool)
 			if j.specification.Steps[i].Gang {
-				s.placeGang(tasks, pool)
+				s.placeGang(tasks, allowed)
 				continue
 			}
-			s.placeEach(o, i, pool)
+			s.placeEach(o, i, allowed)
 		}
 	}
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -71,7 +71,10 @@
 	// summary is the state of the pools at the last tick.
 	summary map[string]*pool
 	vms     map[string]fulmarjob.VM
-	moves   map[string]*vmMove
+	advice  map[stepKey]*advice
+	// advising counts the questions to the advice service that are under way.
+	advising int
+	moves    map[string]*vmMove
 	// inherited holds the VMs that the owners before may have ordered about.
 	inherited map[string]bool
 	// barred holds the VMs and pools, with a blank between, that the platform does not let together.
@@ -94,7 +97,7 @@
 	return &Scheduler{
 		bounds: bounds, token: token, log: log, now: now, openedAt: now,
 		jobs: map[string]*job{}, executors: map[string]*executor{}, waves: map[int64]*wave{},
-		learned: map[string]*forecast{}, vms: map[string]fulmarjob.VM{}, moves: map[string]*vmMove{}, inherited: map[string]bool{},
+		learned: map[string]*forecast{}, vms: map[string]fulmarjob.VM{}, advice: map[stepKey]*advice{}, moves: map[string]*vmMove{}, inherited: map[string]bool{},
 		barred: map[string]bool{}, refused: map[string]refusedWork{},
 	}
 }
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -17,7 +17,7 @@
 	e.noteDeadline(s.now, deadline, s.bounds.MaxHold)
 	s.orders = append(s.orders, StartOrder{Target: e.target(), Start: fulmarjob.Start{
 		Task: t.id, Run: t.run, Payload: t.job.specification.Payload, Checkpoint: t.saved,
-		Deadline: deadline, Token: s.token,
+		Deadline: deadline, Token: s.token, Ticket: s.ticketOf(t),
 	}})
 }
 
@@ -61,6 +61,8 @@
 		t.answered = s.now
 		s.probe(e)
 		return
+	case fulmarjob.AnswerNoTicket:
+		s.dropAdvice(t)
 	case fulmarjob.AnswerNoRoom:
 		e.avoidUntil = max(e.avoidUntil, s.now+fullPause)
 	case fulmarjob.AnswerUnhealthy, fulmarjob.AnswerOtherLife, fulmarjob.AnswerInvalid:
--- a/internal/fulmarsched/world_test.go
+++ b/internal/fulmarsched/world_test.go
@@ -214,6 +214,10 @@
 	loses  func(n int) bool
 	lateBy func(n int) fulmarclock.Millis
 	orders int
+	// mayRun tells which executors the advice service allows.
+	mayRun func(id string) bool
+	// configuration is what each owner is told.
+	configuration *fulmarjob.Configuration
 }
 
 func newWorld(t *testing.T, executors int) *world {
@@ -225,6 +229,7 @@
 		},
 		loses:  func(int) bool { return false },
 		lateBy: func(int) fulmarclock.Millis { return 0 },
+		mayRun: func(string) bool { return true }, configuration: testConfiguration(),
 	}
 	for i := range executors {
 		w.addExecutor(fmt.Sprintf("x-%d", i), fmt.Sprintf("vm-%d", i))
@@ -267,7 +272,7 @@
 	if err := w.scheduler.Restore(w.now, w.unix(), records); err != nil {
 		w.t.Fatal(err)
 	}
-	w.scheduler.Configure(w.now, testConfiguration())
+	w.scheduler.Configure(w.now, w.configuration)
 	for _, e := range w.executors {
 		if e.alive {
 			w.scheduler.SeeExecutor(w.now, e.info)
@@ -282,7 +287,7 @@
 func (w *world) submit(id string, steps ...fulmarjob.Step) Decision {
 	w.jobs[id] = fulmarjob.Specification{Payload: id, Steps: steps}
 	return w.scheduler.Submit(w.now, w.unix(), Submission{
-		ID: id, Queue: testConfiguration().Queues[0], Specification: w.jobs[id],
+		ID: id, Queue: w.configuration.Queues[0], Specification: w.jobs[id],
 	})
 }
 
@@ -447,6 +452,15 @@
 		w.movesMade = append(w.movesMade, o)
 		w.takeDown(o.VM, testBounds.Move, o.Pool)
 		answer(w.now+worldStep, func() { w.scheduler.MoveAnswered(w.now, o.VM, o.Pool, true, false) })
+	case AdviseOrder:
+		tickets := map[string]string{}
+		for _, id := range o.Executors {
+			if w.mayRun(id) {
+				tickets[id] = "ticket-" + id
+			}
+		}
+		sent := w.now
+		answer(w.now+50, func() { w.scheduler.AdviceAnswered(w.now, sent, o, tickets, 1000, true) })
 	case WaveReport:
 		w.reports = append(w.reports, o)
 	}
