--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -188,3 +188,15 @@
 	expected := f.expect(2200)
 	quicktest.Assert(t, expected > 1800 && expected < 2200, quicktest.IsTrue, quicktest.Commentf("%d", expected))
 }
+
+// The work of steps whose turn has not come must not keep VMs from other pools.
+func TestLaterStepsNeedNoRoomOfTheirOwn(t *testing.T) {
+	w := newWorld(t, 1)
+	now := &pool{executors: 10, listed: fulmarjob.Resources{MilliCPU: 160000}, used: fulmarjob.Resources{MilliCPU: 100000}}
+	later := *now
+	later.backlog = 3 * 100000 * 900
+	due := later
+	due.due = due.backlog
+	quicktest.Assert(t, w.scheduler.neededVMs(&later), quicktest.Equals, w.scheduler.neededVMs(now))
+	quicktest.Assert(t, w.scheduler.neededVMs(&due) > w.scheduler.neededVMs(now), quicktest.IsTrue)
+}
