A step's bound on the tasks of one executor keeps its VMs in the pool; sizes split from moves

Cause: lasting tasks with one executor each could wait for VMs that the pool had parked, as their work counts for nothing in the backlog (found in reading; the test fails without the change).

--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -55,8 +55,6 @@
 	paceDownAt = 0.7
 	paceUpAt   = 0.4
 	paceUpStep = 10
-	// firstPace is the pace of a filling task beside serving tasks before their tail is known.
-	firstPace = 30
 	// defaultEstimate is the assumed duration of a task without an estimate.
 	defaultEstimate = 1000 * fulmarclock.Millis(1)
 )
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -19,8 +19,6 @@
 	hasClock bool
 	// deadBy is when all that was ever ordered there has surely ended without further orders.
 	deadBy fulmarclock.Millis
-	// renewed is when a renewal that succeeded was sent.
-	renewed fulmarclock.Millis
 	// fenced tells that this life has seen the scheduler's token.
 	fenced bool
 
--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -200,3 +200,13 @@
 	quicktest.Assert(t, w.scheduler.neededVMs(&later), quicktest.Equals, w.scheduler.neededVMs(now))
 	quicktest.Assert(t, w.scheduler.neededVMs(&due) > w.scheduler.neededVMs(now), quicktest.IsTrue)
 }
+
+// Six tasks of which each needs an executor of its own keep six VMs in the pool.
+func TestABoundForEachExecutorKeepsItsVMs(t *testing.T) {
+	w := newWorld(t, 3)
+	w.behave = endless
+	w.play(4500)
+	w.scheduler.SeeVMs(w.now, vmList(w, 6))
+	w.submit(jobID(1), lasting(6, 1))
+	w.playUntil(20000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 6 })
+}
--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -1,9 +1,7 @@
 package fulmarsched
 
 import (
-	"cmp"
 	"encoding/json"
-	"math"
 	"slices"
 	"strings"
 
@@ -17,18 +15,7 @@
 const (
 	// balanceEvery is the time between two looks at the sizes of the pools.
 	balanceEvery = 100 * fulmarclock.Millis(1)
-	// backlogHorizon is how soon waiting work should have begun.
-	backlogHorizon = 1000 * fulmarclock.Millis(1)
-	// laterHorizon is how soon the work of later steps follows.
-	laterHorizon = 3000 * fulmarclock.Millis(1)
-	// targetFill is the part of a VM that short tasks can fill, as they come in lumps.
-	targetFill = 0.85
-	// spareVMs stay in a pool beyond its need.
-	spareVMs = 1
-	// leastVMs stay in every pool.
-	leastVMs = 3
-	// lendAfter is how long a VM is idle before another pool may have it, parkAfter before it goes to standby.
-	lendAfter = 300 * fulmarclock.Millis(1)
+	// parkAfter is how long a VM is idle before it goes to standby.
 	parkAfter = 1500 * fulmarclock.Millis(1)
 	// moveGivenUp bounds how long a move is ordered again.
 	moveGivenUp = 8 * fulmarclock.Second
@@ -97,85 +84,6 @@
 	s.parkIdle(sizes)
 }
 
-// size is how many VMs a pool has and needs.
-type size struct {
-	service string
-	standby bool
-	need    int
-	have    int
-	// idle are the executors without tasks, the longest idle first.
-	idle []*executor
-	// parked are VMs of a standby pool.
-	parked  []string
-	backlog float64
-}
-
-// sizes returns the sizes of all pools of the configuration, the largest lack first.
-func (s *Scheduler) sizes() []*size {
-	sizes := make([]*size, 0, len(s.configuration.Services))
-	byName := map[string]*size{}
-	for _, service := range s.configuration.Services {
-		z := &size{service: service.Name, standby: service.Standby}
-		if p := s.summary[service.Name]; p != nil && !z.standby {
-			z.need, z.backlog = s.neededVMs(p), p.backlog
-		}
-		sizes = append(sizes, z)
-		byName[service.Name] = z
-	}
-	s.countVMs(byName)
-	slices.SortStableFunc(sizes, func(a, b *size) int {
-		return cmp.Or(cmp.Compare(b.need-b.have, a.need-a.have), cmp.Compare(a.service, b.service))
-	})
-	return sizes
-}
-
-// neededVMs returns how many VMs would carry a pool's running tasks, begin its
-// waiting ones in time, and take what was refused of late.
-func (s *Scheduler) neededVMs(p *pool) int {
-	each := p.vmCores()
-	if each == 0 {
-		return leastVMs
-	}
-	// Later steps follow on those that run now, so they need room of their own only where they are more.
-	running := max(float64(p.used.MilliCPU), (p.backlog-p.due)/float64(laterHorizon))
-	cores := running + p.due/float64(backlogHorizon) + s.refusedRate(p.service)
-	return max(int(math.Ceil(cores/(targetFill*each)))+spareVMs, leastVMs)
-}
-
-func (s *Scheduler) countVMs(byName map[string]*size) {
-	listed := map[string]bool{}
-	for _, e := range s.executors {
-		z := byName[e.info.Service]
-		if !e.listed || e.retired || z == nil {
-			continue
-		}
-		listed[e.info.VM] = true
-		if s.isMoving(e.info.VM) || !e.isUsable(s.now) {
-			continue
-		}
-		z.have++
-		if len(e.tasks) == 0 && s.now >= e.idleSince+lendAfter {
-			z.idle = append(z.idle, e)
-		}
-	}
-	for _, m := range s.moves {
-		if z := byName[m.to]; z != nil && !m.ending {
-			z.have++
-		}
-	}
-	for _, v := range s.vms {
-		if z := byName[v.Pool]; z != nil && z.standby && v.Up && !s.isMoving(v.Name) && !s.isInUpkeep(v.Name) {
-			z.parked = append(z.parked, v.Name)
-		}
-	}
-	for _, z := range byName {
-		slices.Sort(z.parked)
-		slices.SortFunc(z.idle, func(a, b *executor) int {
-			return cmp.Or(cmp.Compare(a.idleSince, b.idleSince), cmp.Compare(a.info.ID, b.info.ID))
-		})
-	}
-}
-
 func (s *Scheduler) isMoving(vm string) bool {
 	m := s.moves[vm]
 	return m != nil && !m.ending
@@ -422,31 +330,3 @@
 	slices.Sort(keys)
 	return keys
 }
-
-// refusedDecay is the time in which refused work loses two thirds of its weight.
-const refusedDecay = 800.0
-
-// refusedWork is work that was refused of late, fading away.
-type refusedWork struct {
-	work float64
-	at   fulmarclock.Millis
-}
-
-func (s *Scheduler) noteRefused(j *job) {
-	work := 0.0
-	for i := range j.specification.Steps {
-		step := &j.specification.Steps[i]
-		work += float64(step.Count) * float64(step.Need.MilliCPU) * float64(s.estimate(j, step))
-	}
-	r := s.refused[j.queue.Service]
-	s.refused[j.queue.Service] = refusedWork{work: r.faded(s.now) + work, at: s.now}
-}
-
-func (r refusedWork) faded(now fulmarclock.Millis) float64 {
-	return r.work * math.Exp(-float64(now-r.at)/refusedDecay)
-}
-
-// refusedRate returns the thousandths of a core that refused work would have kept busy.
-func (s *Scheduler) refusedRate(service string) float64 {
-	return s.refused[service].faded(s.now) / refusedDecay
-}
--- a/internal/fulmarsched/pool.go
+++ b/internal/fulmarsched/pool.go
@@ -22,11 +22,11 @@
 	// waiting and ready count the tasks without a place, and those of them whose turn has come.
 	waiting int
 	ready   int
-	// lasting is what lasting tasks take.
-	lasting fulmarjob.Resources
 	// backlog is the waiting work in milliseconds of a thousandth of a core, due the part of it whose turn has come.
 	backlog float64
 	due     float64
+	// spread is the most executors that a step needs for its bound on tasks of one executor.
+	spread int
 }
 
 // vmCores returns the mean thousandths of a core of the pool's VMs.
@@ -78,6 +78,7 @@
 		if o.left[i] == 0 {
 			continue
 		}
+		p.spread = max(p.spread, spreadOf(&j.specification.Steps[i]))
 		waiting := 0
 		for _, t := range tasks {
 			if t.state == taskWaiting {
@@ -98,6 +99,14 @@
 	}
 }
 
+// spreadOf returns how many executors a step needs at least for its bound on tasks of one executor.
+func spreadOf(step *fulmarjob.Step) int {
+	if step.MaxPerExecutor == 0 {
+		return 0
+	}
+	return (step.Count + step.MaxPerExecutor - 1) / step.MaxPerExecutor
+}
+
 // reportPools writes a line on each pool now and then.
 func (s *Scheduler) reportPools() {
 	if s.now < s.pooledAt+poolReportEvery {
