--- a/internal/fulmarledger/journal.go
+++ b/internal/fulmarledger/journal.go
@@ -22,7 +22,7 @@
 
 const (
 	// keptSegments is how many segments stay before the oldest is written again.
-	keptSegments = 256
+	keptSegments = 128
 	// movedRecords bounds the records of old segments that go into one append.
 	movedRecords = 24
 	// removedSegments bounds the segments that one append removes.
@@ -34,6 +34,8 @@
 	usualWeight    = 0.2
 	// retryPause is the wait before an append that was not carried out is sent again.
 	retryPause = 40 * fulmarclock.Millis(1)
+	// pageLimit bounds the wait for one page of the journal.
+	pageLimit = 2500 * fulmarclock.Millis(1)
 	// appendLimit bounds the wait for one answer of the store.
 	appendLimit = 1200 * fulmarclock.Millis(1)
 )
@@ -72,7 +74,7 @@
 	values := map[string]json.RawMessage{}
 	after := ""
 	for {
-		page, err := store.Range(ctx, journalPrefix, after)
+		page, err := j.readPage(ctx, after)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -93,6 +95,24 @@
 	return j, records, nil
 }
 
+// readPage reads a page again and again until ctx ends, as an answer may be lost.
+func (j *Journal) readPage(ctx context.Context, after string) (Page, error) {
+	for {
+		limited, cancel := context.WithTimeout(ctx, pageLimit.Duration())
+		page, err := j.store.Range(limited, journalPrefix, after)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		j.retries(err)
+		select {
+		case <-ctx.Done():
+			return page, err
+		case <-j.clock.After(retryPause):
+		}
+	}
+}
+
 func (j *Journal) read(i Item, values map[string]json.RawMessage) error {
 	if i.Key == headKey {
 		j.head = i.Revision
@@ -107,9 +127,9 @@
 	if err != nil {
 		return &fulmarjob.FormatError{What: i.Key, Cause: err}
 	}
-	var records []Record
-	if err := json.Unmarshal(i.Value, &records); err != nil {
-		return &fulmarjob.FormatError{What: i.Key, Cause: err}
+	records, err := decodeSegment(i.Key, i.Value)
+	if err != nil {
+		return err
 	}
 	j.enter(sequence, records)
 	for _, r := range records {
@@ -159,9 +179,9 @@
 // Append adds records, whole or not at all, and returns once they are stored. It
 // goes on through outages of the store until ctx ends or the claim is lost.
 func (j *Journal) Append(ctx context.Context, records []Record) error {
-	value, err := json.Marshal(records)
+	value, err := encodeSegment(records)
 	if err != nil {
-		return &fulmarjob.FormatError{What: "a segment", Cause: err}
+		return err
 	}
 	sequence := j.sequence + 1
 	j.enter(sequence, records)
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -61,6 +61,8 @@
 
 	configuration atomic.Pointer[fulmarjob.Configuration]
 	stopping      atomic.Bool
+	// handedOver is closed when a planned stop has given the scheduler back.
+	handedOver chan struct{}
 
 	callers *http.Server
 	probes  *http.Server
@@ -70,7 +72,11 @@
 
 // Start takes the member's addresses and makes its parts.
 func Start(settings Settings, logger *log.Logger) (*Node, error) {
-	n := &Node{settings: settings, logger: logger, clock: fulmarclock.NewSystem()}
+	return start(settings, logger, fulmarclock.NewSystem())
+}
+
+func start(settings Settings, logger *log.Logger, clock fulmarclock.Clock) (*Node, error) {
+	n := &Node{settings: settings, logger: logger, clock: clock, handedOver: make(chan struct{})}
 	for _, address := range []string{settings.Callers, settings.Ready, settings.Metrics, settings.Peers} {
 		socket, err := net.Listen("tcp", address)
 		if err != nil {
@@ -102,6 +108,7 @@
 		Clock: n.clock, Awake: fulmarclock.NewBoot(), Logger: n.logger, Counters: n.metrics,
 		Self:   fulmarledger.Owner{Member: n.settings.Member, Peers: n.settings.Peers},
 		Bounds: n.settings.Bounds.Scheduler(), Lease: n.settings.Bounds.Lease(),
+		ClaimDelay: n.settings.ClaimDelay(),
 	})
 	n.router = fulmarfront.NewRouter(n.candidate, n.clock, n.logger, n.metrics, n.settings.Peers)
 	front := fulmarfront.New(fulmarfront.Options{
@@ -135,13 +142,17 @@
 	n.addDuty(&group, n.followOperators().Run)
 	n.addDuty(&group, n.followOwner().Run)
 	reign, abdicate := context.WithCancel(context.Background())
-	reigned := make(chan struct{})
+	reigned, interrupted := make(chan struct{}), make(chan struct{})
 	group.Add(func() error {
 		n.candidate.Run(reign)
 		close(reigned)
-		<-ctx.Done()
+		// The member goes on without a reign until its planned stop is over.
+		<-interrupted
 		return nil
-	}, func(error) { abdicate() })
+	}, func(error) {
+		abdicate()
+		close(interrupted)
+	})
 	n.addServer(&group, n.callers, n.sockets[0])
 	n.addServer(&group, n.probes, n.sockets[1])
 	n.addServer(&group, n.reports, n.sockets[2])
@@ -188,6 +199,7 @@
 	began := n.clock.Now()
 	abdicate()
 	<-reigned
+	close(n.handedOver)
 	left := fulmarclock.Millis(float64(grace)*lingerShare) - (n.clock.Now() - began)
 	<-n.clock.After(max(left, 0))
 	n.callers.SetKeepAlivesEnabled(false)
--- a/internal/fulmarnode/settings.go
+++ b/internal/fulmarnode/settings.go
@@ -25,7 +25,10 @@
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 	// MemoryMB is the process's limit.
-	MemoryMB int64         `json:"memory_mb"`
+	MemoryMB int64 `json:"memory_mb"`
+	// Cores and LinkMbps are what the VM has of processor and network.
+	Cores    float64       `json:"cores"`
+	LinkMbps float64       `json:"link_mbps"`
 	Bounds   BoundSettings `json:"bounds"`
 }
 
@@ -87,6 +90,24 @@
 	return nil
 }
 
+// The delay of a claim is what the VM would need to read a journal of usual size,
+// and a part for its processor, but not more than the longest.
+const (
+	usualJournalMbit    = 16.0
+	claimDelayForCore   = 30 * fulmarclock.Millis(1)
+	longestClaimDelay   = 500 * fulmarclock.Millis(1)
+	millisInSecondFloat = float64(millisInSecond)
+)
+
+// ClaimDelay returns how long this member waits before it claims the scheduler.
+func (s Settings) ClaimDelay() fulmarclock.Millis {
+	if s.Cores <= 0 || s.LinkMbps <= 0 {
+		return longestClaimDelay
+	}
+	delay := fulmarclock.Millis(usualJournalMbit/s.LinkMbps*millisInSecondFloat) + fulmarclock.Millis(float64(claimDelayForCore)/s.Cores)
+	return min(delay, longestClaimDelay)
+}
+
 // Lease returns the length of the ownership lease.
 func (b BoundSettings) Lease() fulmarclock.Millis {
 	return fulmarclock.Millis(b.LeaseMinMillis * leaseOverMinimum)
--- a/internal/fulmarowner/candidate.go
+++ b/internal/fulmarowner/candidate.go
@@ -68,6 +68,9 @@
 	Bounds   fulmarsched.Bounds
 	// Lease is the length of the ownership lease.
 	Lease fulmarclock.Millis
+	// ClaimDelay is how long this member waits before it claims; the better a VM is
+	// suited to own the scheduler, the shorter.
+	ClaimDelay fulmarclock.Millis
 }
 
 // Candidate claims the scheduler whenever nobody owns it.
@@ -101,6 +104,14 @@
 		if _, owned := c.Owner(); owned {
 			continue
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.options.Clock.After(c.options.ClaimDelay):
+		}
+		if _, owned := c.Owner(); owned {
+			continue
+		}
 		c.tryReign(ctx)
 	}
 }
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -9,8 +9,8 @@
 	// vacancyCheck is how often a member looks whether the scheduler has an owner.
 	vacancyCheck = 300 * fulmarclock.Millis(1)
 	claimLimit   = 2 * fulmarclock.Second
-	openLimit    = 8 * fulmarclock.Second
-	openRetry    = 100 * fulmarclock.Millis(1)
+	// openLimit bounds the reading of the journal; after it another member may try.
+	openLimit = 5 * fulmarclock.Second
 	// ringEvents bounds the events that wait for the scheduler.
 	ringEvents = 4096
 	// commitGap is the least time between the starts of two appends to the journal.
--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -102,23 +102,17 @@
 func (r *reign) open(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, openLimit.Duration())
 	defer cancel()
-	for {
-		journal, records, err := fulmarledger.Open(limited, r.options.Store, r.options.Clock, r.claim, r.noteRetry)
-		if err == nil {
-			r.journal = journal
-			return r.restore(records)
-		}
-		if limited.Err() != nil {
-			return err
-		}
-		r.options.Logger.Warn("the journal is read again", "error", err)
-		<-r.options.Clock.After(openRetry)
+	journal, records, err := fulmarledger.Open(limited, r.options.Store, r.options.Clock, r.claim, r.noteRetry)
+	if err != nil {
+		return err
 	}
+	r.journal = journal
+	return r.restore(records)
 }
 
 func (r *reign) noteRetry(err error) {
-	r.options.Logger.Warn("the journal's append is sent again", "error", err)
-	r.options.Counters.Count("append_retries", reasonOf(err))
+	r.options.Logger.Warn("a call to the journal is sent again", "error", err)
+	r.options.Counters.Count("journal_retries", reasonOf(err))
 }
 
 func reasonOf(err error) string {
