--- a/internal/fulmarfront/front.go
+++ b/internal/fulmarfront/front.go
@@ -90,7 +90,7 @@
 		return f.refuse(c, call{method: r.Method}, http.StatusNotFound, "no-queue", 0)
 	}
 	k := call{method: r.Method, queue: queue, id: r.URL.Path[len(queue.Prefix):], began: f.options.Clock.Now()}
-	ctx, cancel := context.WithTimeout(r.Context(), f.deadline(r).Duration())
+	ctx, cancel := context.WithTimeout(r.Context(), f.deadline(r, queue).Duration())
 	defer cancel()
 	if k.id == "" && k.method == http.MethodGet {
 		return f.pending(ctx, c, k)
@@ -124,12 +124,17 @@
 	return err == nil
 }
 
-func (f *Front) deadline(r *http.Request) fulmarclock.Millis {
+// deadline returns how long a request may take: what its caller says, within the queue's timeout.
+func (f *Front) deadline(r *http.Request, queue fulmarjob.Queue) fulmarclock.Millis {
+	limit := defaultDeadline
+	if queue.Timeout > 0 {
+		limit = queue.Timeout
+	}
 	wait, err := strconv.ParseInt(r.Header.Get(f.options.Format.DeadlineHeader()), 10, 64)
-	if err != nil || wait <= 0 {
-		return defaultDeadline
+	if err == nil && wait > 0 {
+		limit = min(limit, fulmarclock.Millis(wait))
 	}
-	return max(fulmarclock.Millis(wait)-answerMargin, answerMargin)
+	return max(limit-answerMargin, answerMargin)
 }
 
 func (f *Front) submit(ctx context.Context, c echo.Context, k call, version int64) error {
--- a/internal/fulmarfront/front_test.go
+++ b/internal/fulmarfront/front_test.go
@@ -175,3 +175,24 @@
 		})
 	}
 }
+
+func TestDeadlines(t *testing.T) {
+	for _, row := range []struct {
+		header  string
+		timeout fulmarclock.Millis
+		want    fulmarclock.Millis
+	}{
+		{"", 0, defaultDeadline - answerMargin},
+		{"3000", 0, 3000 - answerMargin},
+		{"1000", 3000, 1000 - answerMargin},
+		{"9000", 2000, 2000 - answerMargin},
+		{"soon", 2000, 2000 - answerMargin},
+		{"-5", 2000, 2000 - answerMargin},
+		{"50", 2000, answerMargin},
+	} {
+		request := httptest.NewRequest(http.MethodGet, "/a/", nil)
+		request.Header.Set("Deadline", row.header)
+		deadline := testFront(nil, oneQueue()).deadline(request, fulmarjob.Queue{Timeout: row.timeout})
+		quicktest.Assert(t, deadline, quicktest.Equals, row.want, quicktest.Commentf("%q %d", row.header, row.timeout))
+	}
+}
--- a/internal/fulmarnode/settings.go
+++ b/internal/fulmarnode/settings.go
@@ -34,20 +34,14 @@
 
 // BoundSettings are the deployment's bounds.
 type BoundSettings struct {
-	LeaseMinMillis      float64 `json:"lease_min_ms"`
-	HoldMaxMillis       float64 `json:"hold_max_ms"`
-	StopWithinMillis    float64 `json:"stop_within_ms"`
-	CancelWithinMillis  float64 `json:"cancel_within_ms"`
-	StatusKeptSeconds   float64 `json:"status_kept_s"`
-	FleetTurnMillis     float64 `json:"fleet_turn_ms"`
-	EarlyMillis         float64 `json:"early_ms"`
-	UpkeepSeconds       float64 `json:"upkeep_s"`
-	MoveSeconds         float64 `json:"move_s"`
-	NoticeMillis        float64 `json:"notice_ms"`
-	StopProcessSeconds  float64 `json:"stop_process_s"`
-	ContactLimitMillis  float64 `json:"contact_limit_ms"`
-	InterferenceMillis  float64 `json:"interference_ms"`
-	ConfigurationMillis float64 `json:"configuration_ms"`
+	LeaseMinMillis     float64 `json:"lease_min_ms"`
+	HoldMaxMillis      float64 `json:"hold_max_ms"`
+	StopWithinMillis   float64 `json:"stop_within_ms"`
+	StatusKeptSeconds  float64 `json:"status_kept_s"`
+	FleetTurnMillis    float64 `json:"fleet_turn_ms"`
+	UpkeepSeconds      float64 `json:"upkeep_s"`
+	MoveSeconds        float64 `json:"move_s"`
+	StopProcessSeconds float64 `json:"stop_process_s"`
 }
 
 const millisInSecond = 1000
@@ -57,9 +51,8 @@
 
 // fallback figures stand for bounds that the file leaves out.
 var fallback = BoundSettings{
-	LeaseMinMillis: 1000, HoldMaxMillis: 10000, StopWithinMillis: 1000, CancelWithinMillis: 3000, StatusKeptSeconds: 120,
-	FleetTurnMillis: 3000, EarlyMillis: 250, UpkeepSeconds: 2, MoveSeconds: 2, NoticeMillis: 4500, StopProcessSeconds: 6,
-	ContactLimitMillis: 3000, InterferenceMillis: 4000, ConfigurationMillis: 2000,
+	LeaseMinMillis: 1000, HoldMaxMillis: 10000, StopWithinMillis: 1000, StatusKeptSeconds: 120,
+	FleetTurnMillis: 3000, UpkeepSeconds: 2, MoveSeconds: 2, StopProcessSeconds: 6,
 }
 
 // LoadSettings reads and checks the file at path.
@@ -117,9 +110,8 @@
 func (b BoundSettings) Scheduler() fulmarsched.Bounds {
 	return fulmarsched.Bounds{
 		MaxHold: fulmarclock.Millis(b.HoldMaxMillis), StopWithin: fulmarclock.Millis(b.StopWithinMillis),
-		CancelWithin: fulmarclock.Millis(b.CancelWithinMillis), StatusKept: fulmarclock.Millis(b.StatusKeptSeconds * millisInSecond),
-		OwnerPause: fulmarclock.Millis(b.FleetTurnMillis), Early: fulmarclock.Millis(b.EarlyMillis),
-		Upkeep: fulmarclock.Millis(b.UpkeepSeconds * millisInSecond), Move: fulmarclock.Millis(b.MoveSeconds * millisInSecond),
-		Notice: fulmarclock.Millis(b.NoticeMillis),
+		StatusKept: fulmarclock.Millis(b.StatusKeptSeconds * millisInSecond),
+		OwnerPause: fulmarclock.Millis(b.FleetTurnMillis),
+		Upkeep:     fulmarclock.Millis(b.UpkeepSeconds * millisInSecond), Move: fulmarclock.Millis(b.MoveSeconds * millisInSecond),
 	}
 }
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -236,8 +236,8 @@
 	s.scheduleHold(e, s.now+minHoldGap)
 }
 
-// watchOver frees what a silent executor ran once its lease has surely ended, and
-// repeats orders without an answer.
+// watchOver frees what a silent executor ran once its lease has surely ended,
+// repeats orders without an answer, and moves lasting tasks off an executor that leaves.
 func (s *Scheduler) watchOver(e *executor) {
 	if e.retired {
 		return
@@ -254,6 +254,9 @@
 		}
 		return
 	}
+	if e.info.Draining {
+		s.moveLasting(e)
+	}
 	for _, t := range e.tasks {
 		s.repeatOrder(e, t)
 	}
--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -210,3 +210,21 @@
 	w.submit(jobID(1), lasting(6, 1))
 	w.playUntil(20000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 6 })
 }
+
+func TestLastingTasksLeaveADrainingExecutor(t *testing.T) {
+	w := newWorld(t, 4)
+	w.behave = endless
+	w.play(1200)
+	w.submit(jobID(1), lasting(3, 1))
+	w.playUntil(4000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 3 })
+	host := w.find(Target{ID: w.runs[0].executor})
+	leaving := host.info
+	leaving.Draining = true
+	w.scheduler.SeeExecutor(w.now, leaving)
+	least := 3
+	w.playUntil(8000, "the task serves elsewhere", func() bool {
+		least = min(least, w.atWork(jobID(1)))
+		return len(host.running) == 0 && w.atWork(jobID(1)) == 3
+	})
+	quicktest.Assert(t, least, quicktest.Equals, 2)
+}
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -30,19 +30,13 @@
 	MaxHold fulmarclock.Millis
 	// StopWithin is how long a stop takes at most.
 	StopWithin fulmarclock.Millis
-	// CancelWithin is how soon after a cancel nothing may start.
-	CancelWithin fulmarclock.Millis
 	// StatusKept is how long the state of an ended job is owed.
 	StatusKept fulmarclock.Millis
 	// OwnerPause is how long a new owner waits before it orders VMs about.
 	OwnerPause fulmarclock.Millis
-	// Early is how much before its time an occurrence may start.
-	Early fulmarclock.Millis
 	// Upkeep and Move are how long a VM is away for its upkeep and for a change of its pool.
 	Upkeep fulmarclock.Millis
 	Move   fulmarclock.Millis
-	// Notice is how long a lasting task may be away before it counts as unavailable.
-	Notice fulmarclock.Millis
 }
 
 // Logger takes one line for each decision; fields come in pairs.
--- a/internal/fulmarsched/world_test.go
+++ b/internal/fulmarsched/world_test.go
@@ -14,8 +14,8 @@
 const worldStep = 10 * fulmarclock.Millis(1)
 
 var testBounds = Bounds{
-	MaxHold: 10000, StopWithin: 400, CancelWithin: 3000, StatusKept: 120000, OwnerPause: 3000, Early: 250,
-	Upkeep: 2000, Move: 1500, Notice: 4500,
+	MaxHold: 10000, StopWithin: 400, StatusKept: 120000, OwnerPause: 3000,
+	Upkeep: 2000, Move: 1500,
 }
 
 const (
