--- a/internal/fulmarledger/ledger_test.go
+++ b/internal/fulmarledger/ledger_test.go
@@ -43,6 +43,13 @@
 	return &fakeStore{items: map[string]Item{}, leases: map[int64]bool{}, lose: func(int) fate { return answered }}
 }
 
+// fail sets what becomes of commits. Copies of earlier ones may still be on their way.
+func (s *fakeStore) fail(lose func(n int) fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = lose
+}
+
 func (s *fakeStore) Range(_ context.Context, prefix, after string) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -208,12 +215,12 @@
 		t.Run(row.name, func(t *testing.T) {
 			s := newFakeStore()
 			j, _ := claimAndOpen(t, s, "a")
-			s.lose = row.lose
+			s.fail(row.lose)
 			for i := range 40 {
 				quicktest.Assert(t, j.Append(context.Background(), []Record{record(fmt.Sprint(i%5), i)}), quicktest.IsNil)
 				s.carryOutLate()
 			}
-			s.lose = func(int) fate { return answered }
+			s.fail(func(int) fate { return answered })
 			s.dropOwner()
 			_, values := claimAndOpen(t, s, "b")
 			quicktest.Assert(t, values, quicktest.DeepEquals, map[string]string{"0": "35", "1": "36", "2": "37", "3": "38", "4": "39"})
@@ -242,12 +249,12 @@
 	a, _ := claimAndOpen(t, s, "a")
 	quicktest.Assert(t, a.Append(context.Background(), []Record{record("x", 1)}), quicktest.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
-	s.lose = func(int) fate {
+	s.fail(func(int) fate {
 		cancel()
 		return lostBefore
-	}
+	})
 	quicktest.Assert(t, a.Append(ctx, []Record{record("x", 2)}), quicktest.IsNotNil)
-	s.lose = func(int) fate { return answered }
+	s.fail(func(int) fate { return answered })
 	s.dropOwner()
 	claimAndOpen(t, s, "b")
 	s.carryOutLate()
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -204,6 +204,7 @@
 	e.idleSince = s.now
 	t.answered, t.ordered, t.running, t.sent, t.percent = 0, 0, 0, 0, 0
 	t.stopping, t.stopSent, t.stopped, t.pace = false, 0, 0, fullSpeed
+	t.leaving, t.leavingStored = false, false
 	t.awaySince = s.now
 	t.state = taskWaiting
 	if t.job.state.IsFinal() {
@@ -263,6 +264,10 @@
 }
 
 func (s *Scheduler) repeatOrder(e *executor, t *task) {
+	if t.leavingStored && !t.stopping && t.answered > 0 {
+		s.stop(t)
+		return
+	}
 	if t.stopping && t.stopped == 0 && s.now > t.stopSent+s.bounds.StopWithin+resendAfter {
 		s.stop(t)
 		return
--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -19,7 +19,7 @@
 	n := 0
 	for _, e := range w.executors {
 		for id, r := range e.running {
-			if id.Job == job && w.now >= r.began+300 {
+			if id.Job == job && w.now >= r.began+300 && !r.stopping {
 				n++
 			}
 		}
@@ -60,6 +60,49 @@
 	quicktest.Assert(t, len(w.upkeeps) >= 5, quicktest.IsTrue)
 }
 
+// wronglyAtWork returns a task that is being stopped and counts as at work.
+func (w *world) wronglyAtWork() (fulmarjob.TaskID, bool) {
+	for _, e := range w.executors {
+		for id, r := range e.running {
+			t := w.scheduler.taskOf(id)
+			if r.stopping && t != nil && t.run == r.number && t.isAtWork() {
+				return id, true
+			}
+		}
+	}
+	return fulmarjob.TaskID{}, false
+}
+
+// The owner is killed at each step of a wave: the next one must know which tasks
+// are being stopped, though their executors still list them as they were.
+func TestAvailabilityHoldsWhenTheOwnerIsKilledInAWave(t *testing.T) {
+	for after := worldStep; after < 1500; after += worldStep {
+		w := newWorld(t, 5)
+		w.behave = endless
+		w.play(1200)
+		w.submit(jobID(1), lasting(3, 1))
+		w.playUntil(4000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 3 })
+		request := fulmarjob.Wave{Number: 1, Within: 60 * fulmarclock.Second, MaxDown: 3}
+		for _, r := range w.runs {
+			request.VMs = append(request.VMs, w.find(Target{ID: r.executor}).info.VM)
+		}
+		w.scheduler.SeeWave(w.now, request)
+		w.play(w.now + after)
+		w.newOwner()
+		w.inspect = func() {
+			if id, found := w.wronglyAtWork(); found {
+				t.Fatalf("killed %d ms after the wave was seen: %v is being stopped and counts as at work at %d ms", after, id, w.now)
+			}
+		}
+		for w.now < 9000 {
+			w.step()
+			if n := w.atWork(jobID(1)); n < 2 {
+				t.Fatalf("killed %d ms after the wave was seen: %d tasks serve at %d ms", after, n, w.now)
+			}
+		}
+	}
+}
+
 func TestAWaveGoesOnUnderAnotherOwner(t *testing.T) {
 	w := newWorld(t, 4)
 	w.play(1200)
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -38,6 +38,9 @@
 	stored bool
 	// sent is the number of start orders of this run.
 	sent int
+	// leaving means that a lasting task is to move elsewhere; leavingStored that the journal says so.
+	leaving       bool
+	leavingStored bool
 	// stopping means that the run is to end; the task is placed anew after it.
 	stopping bool
 	stopSent fulmarclock.Millis
@@ -51,7 +54,7 @@
 
 // isAtWork tells whether a lasting task serves, as far as its executor still answers.
 func (t *task) isAtWork() bool {
-	return t.state == taskPlaced && t.running > 0 && t.percent >= fullSpeed && !t.stopping && t.executor.failures == 0
+	return t.state == taskPlaced && t.running > 0 && t.percent >= fullSpeed && !t.stopping && !t.leaving && t.executor.failures == 0
 }
 
 // occurrence is one execution of a job's steps.
--- a/internal/fulmarsched/player_test.go
+++ b/internal/fulmarsched/player_test.go
@@ -17,6 +17,9 @@
 	how      fulmarjob.Ending
 }
 
+// playedStop is how long a stop takes.
+const playedStop = 300 * fulmarclock.Millis(1)
+
 // playedExecutor follows the executors' contract.
 type playedExecutor struct {
 	world   *world
@@ -39,6 +42,8 @@
 	need   fulmarjob.Resources
 	endsAt fulmarclock.Millis
 	fails  bool
+	// stopping runs end at endsAt by their stop; until then they are listed as they were.
+	stopping bool
 }
 
 func (e *playedExecutor) clock() fulmarclock.Millis { return e.world.now - e.bornAt }
@@ -87,7 +92,7 @@
 	e.token = token
 	e.highest[id] = max(e.highest[id], number)
 	if r := e.running[id]; r != nil && r.number <= number {
-		e.end(r, fulmarjob.EndedStopped)
+		r.stopping, r.endsAt = true, e.world.now+playedStop
 	}
 	return fulmarjob.AnswerDone
 }
@@ -130,6 +135,8 @@
 		switch {
 		case e.clock() > e.lease:
 			e.end(r, fulmarjob.EndedLapsed)
+		case e.world.now >= r.endsAt && r.stopping:
+			e.end(r, fulmarjob.EndedStopped)
 		case e.world.now >= r.endsAt && r.fails:
 			e.end(r, fulmarjob.EndedFailed)
 		case e.world.now >= r.endsAt:
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -49,6 +49,7 @@
 	Born     int64     `json:"b,omitempty"`
 	Saved    string    `json:"c,omitempty"`
 	Begun    bool      `json:"g,omitempty"`
+	Leaving  bool      `json:"l,omitempty"`
 }
 
 // records returns the records of all that changed and of due keys.
@@ -156,7 +157,7 @@
 	for _, tasks := range o.steps {
 		rows := make([]taskRecord, len(tasks))
 		for i, t := range tasks {
-			rows[i] = taskRecord{State: t.state, Run: t.run, Attempts: t.attempts, Saved: t.saved, Begun: t.job.begun}
+			rows[i] = taskRecord{State: t.state, Run: t.run, Attempts: t.attempts, Saved: t.saved, Begun: t.job.begun, Leaving: t.leaving}
 			if t.state == taskPlaced {
 				rows[i].Executor, rows[i].Born = t.executor.info.ID, t.executor.info.Born
 			}
@@ -279,4 +280,5 @@
 	}
 	e.add(t)
 	t.stored = true
+	t.leaving, t.leavingStored = row.Leaving, row.Leaving
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -76,14 +76,15 @@
 	refused    map[string]refusedWork
 	balancedAt fulmarclock.Millis
 
-	dirty  []*job
-	starts []*task
-	seen   []*executor
-	waved  []*vmUpkeep
-	silent []string
-	ended  []*job
-	moved  []*vmMove
-	orders []Order
+	dirty   []*job
+	starts  []*task
+	seen    []*executor
+	waved   []*vmUpkeep
+	silent  []string
+	ended   []*job
+	moved   []*vmMove
+	leavers []*task
+	orders  []Order
 }
 
 // New returns a scheduler whose orders bear token.
@@ -137,6 +138,7 @@
 	waves   []*vmUpkeep
 	ended   []*job
 	moves   []*vmMove
+	leavers []*task
 }
 
 // endCursor is how far the ends of an executor's life are part of a batch.
@@ -156,13 +158,14 @@
 func (s *Scheduler) Plan(now fulmarclock.Millis, unix int64, due []string) *Batch {
 	s.now, s.unix = now, unix
 	s.place()
-	b := &Batch{starts: s.starts, waves: s.waved, ended: s.ended, moves: s.moved}
+	b := &Batch{starts: s.starts, waves: s.waved, ended: s.ended, moves: s.moved, leavers: s.leavers}
 	b.Records = s.records(due)
 	for _, e := range s.seen {
 		e.queued = false
 		b.ends = append(b.ends, endCursor{executor: e, born: e.info.Born, number: e.seen})
 	}
 	s.starts, s.seen, s.waved, s.ended, s.moved = nil, nil, nil, nil, nil
+	s.leavers = nil
 	return b
 }
 
@@ -184,6 +187,9 @@
 		u.stored = true
 	}
 	s.settleMoves(b.moves)
+	for _, t := range b.leavers {
+		t.leavingStored = t.leaving
+	}
 	for _, j := range b.ended {
 		j.settled = true
 	}
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -280,13 +280,21 @@
 // moveLasting stops lasting tasks on an executor whose VM is to go down, within their steps' bounds.
 func (s *Scheduler) moveLasting(e *executor) {
 	for _, t := range sortedTasks(e) {
-		if t.step.Lasting && !t.stopping && s.maySpare(t) {
+		if t.step.Lasting && !t.stopping && !t.leaving && s.maySpare(t) {
 			s.log.Decide("lasting task moved", "job", t.id.Job, "step", t.id.Step, "index", t.id.Index, "run", t.run, "executor", e.info.ID)
-			s.stop(t)
+			s.leave(t)
 		}
 	}
 }
 
+// leave chooses a lasting task to move; its stop goes out when the journal holds
+// the choice, so that a later owner does not take the task for one at work.
+func (s *Scheduler) leave(t *task) {
+	t.leaving, t.leavingStored = true, false
+	s.leavers = append(s.leavers, t)
+	s.touch(t.job)
+}
+
 // maySpare tells whether a lasting task may be away for a while: fewer tasks of its
 // step than its bound allows are away, and there is room for it elsewhere.
 func (s *Scheduler) maySpare(t *task) bool {
--- a/internal/fulmarsched/world_test.go
+++ b/internal/fulmarsched/world_test.go
@@ -66,6 +66,8 @@
 	loses  func(n int) bool
 	lateBy func(n int) fulmarclock.Millis
 	orders int
+	// inspect looks at the world between the answers and the decisions of each step.
+	inspect func()
 	// mayRun tells which executors the advice service allows.
 	mayRun func(id string) bool
 	// configuration is what each owner is told.
@@ -79,9 +81,9 @@
 		behave: func(fulmarjob.TaskID, int64, *playedExecutor) (fulmarclock.Millis, bool) {
 			return 200, false
 		},
-		loses:  func(int) bool { return false },
-		lateBy: func(int) fulmarclock.Millis { return 0 },
-		mayRun: func(string) bool { return true }, configuration: testConfiguration(),
+		loses:   func(int) bool { return false },
+		lateBy:  func(int) fulmarclock.Millis { return 0 },
+		inspect: func() {}, mayRun: func(string) bool { return true }, configuration: testConfiguration(),
 	}
 	for i := range executors {
 		w.addExecutor(fmt.Sprintf("x-%d", i), fmt.Sprintf("vm-%d", i))
@@ -215,6 +217,7 @@
 		}
 	}
 	w.deliver()
+	w.inspect()
 	w.scheduler.Tick(w.now, w.unix())
 	w.commit()
 	for _, o := range w.scheduler.TakeOrders() {
