--- a/internal/fulmarnode/main.go
+++ b/internal/fulmarnode/main.go
@@ -32,7 +32,8 @@
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB*megabyte) * memoryShare))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go reloadOnSignal(ctx, path, logger)
+	reloads := newReloader(path, logger)
+	defer reloads.Close()
 	node, err := Start(settings, logger.With("member", settings.Member))
 	if err != nil {
 		logger.Error("the member could not start", "error", err)
@@ -49,24 +50,3 @@
 	}
 	logger.SetLevel(level)
 }
-
-// reloadOnSignal reads the settings again at SIGHUP; the log level follows them.
-func reloadOnSignal(ctx context.Context, path string, logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
-		settings, err := LoadSettings(path)
-		if err != nil {
-			logger.Error("the changed settings were refused, the old ones stay", "error", err)
-			continue
-		}
-		setLevel(logger, settings.LogLevel)
-		logger.Info("the settings were read again", "log_level", settings.LogLevel)
-	}
-}
