The scheduler goes through executors in the order of their IDs

Found in reading: it went through maps, so the same events could lead to other orders, against its own promise and a risk for tests. TestTheSameEventsLeadToTheSameRuns plays five seeds twice.

--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -1,6 +1,9 @@
 package fulmarsched
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
@@ -50,9 +53,25 @@
 	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, heard: s.now, idleSince: s.now}
 	e.info.ID = id
 	s.executors[id] = e
+	at, _ := slices.BinarySearchFunc(s.byID, id, compareID)
+	s.byID = slices.Insert(s.byID, at, e)
 	return e
 }
 
+func compareID(e *executor, id string) int { return strings.Compare(e.info.ID, id) }
+
+// sorted returns all executors by ID, so that the same events lead to the same
+// orders. Executors may come and go while the result is in use.
+func (s *Scheduler) sorted() []*executor { return slices.Clone(s.byID) }
+
+// forget drops an executor.
+func (s *Scheduler) forget(e *executor) {
+	delete(s.executors, e.info.ID)
+	if at, found := slices.BinarySearchFunc(s.byID, e.info.ID, compareID); found {
+		s.byID = slices.Delete(s.byID, at, at+1)
+	}
+}
+
 func (e *executor) target() Target {
 	return Target{ID: e.info.ID, Address: e.info.Address, Born: e.info.Born}
 }
@@ -140,7 +159,7 @@
 
 // retireOlder ends the former lives of an executor's VM, or the executor itself when its VM has a later one.
 func (s *Scheduler) retireOlder(e *executor) {
-	for _, o := range s.executors {
+	for _, o := range s.sorted() {
 		if o == e || e.info.VM == "" || o.info.VM != e.info.VM || o.retired {
 			continue
 		}
@@ -193,7 +212,7 @@
 func (s *Scheduler) dropEmpty(e *executor) {
 	if !e.listed && len(e.tasks) == 0 {
 		s.endSilence(e)
-		delete(s.executors, e.info.ID)
+		s.forget(e)
 	}
 }
 
@@ -258,7 +277,7 @@
 	if e.info.Draining {
 		s.moveLasting(e)
 	}
-	for _, t := range e.tasks {
+	for _, t := range sortedTasks(e) {
 		s.repeatOrder(e, t)
 	}
 }
--- a/internal/fulmarsched/fault_test.go
+++ b/internal/fulmarsched/fault_test.go
@@ -267,8 +267,19 @@
 	}
 }
 
+// The scheduler has no randomness of its own: the same events lead to the same runs.
+func TestTheSameEventsLeadToTheSameRuns(t *testing.T) {
+	for seed := range int64(5) {
+		first, second := playRandom(t, seed), playRandom(t, seed)
+		quicktest.Assert(t, len(first.runs), quicktest.Equals, len(second.runs))
+		for i := range first.runs {
+			quicktest.Assert(t, *first.runs[i] == *second.runs[i], quicktest.IsTrue, quicktest.Commentf("seed %d, run %d", seed, i))
+		}
+	}
+}
+
 // playRandom mixes lost answers, silences, crashes, outages and changes of the owner.
-func playRandom(t *testing.T, seed int64) {
+func playRandom(t *testing.T, seed int64) *world {
 	random := newRandom(seed)
 	w := newWorld(t, 3)
 	w.loses = func(int) bool { return random.below(12) == 0 }
@@ -292,6 +303,7 @@
 	w.storeDown = false
 	w.loses = func(int) bool { return false }
 	w.playUntil(w.now+90000, "all accepted jobs have ended", w.allEnded)
+	return w
 }
 
 func (w *world) disturb(random *testRandom) {
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -23,7 +23,7 @@
 
 // sendHolds emits the renewals that are due, one at a time for each executor.
 func (s *Scheduler) sendHolds() {
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if !e.retired && !e.holding && e.holdDue > 0 && e.holdDue <= s.now && e.info.Address != "" {
 			s.sendHold(e)
 		}
--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -196,7 +196,7 @@
 }
 
 func (s *Scheduler) orderMove(m *vmMove) {
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if e.info.VM == m.vm && !e.retired && len(e.tasks) > 0 {
 			s.endMove(m, "the VM is in use")
 			return
@@ -221,7 +221,7 @@
 func (s *Scheduler) endMove(m *vmMove, why string) {
 	m.ending, m.ended = true, s.now
 	s.log.Decide("move ended", "vm", m.vm, "to", m.to, "why", why, "took_ms", s.now-m.chosen)
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if e.info.VM == m.vm && !e.retired && !s.isInUpkeep(m.vm) {
 			e.cordoned = false
 		}
--- a/internal/fulmarsched/order.go
+++ b/internal/fulmarsched/order.go
@@ -5,7 +5,9 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
-// Order is one of StartOrder, StopOrder, HoldOrder, PaceOrder, UpkeepOrder and WaveReport.
+// Order is something to be carried out outside: StartOrder, StopOrder, HoldOrder and
+// PaceOrder at executors, UpkeepOrder and MoveOrder on VMs, AdviseOrder at the advice
+// service, and WaveReport for operators.
 type Order interface{ isOrder() }
 
 // Target is the life of an executor that an order is meant for.
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -94,7 +94,7 @@
 
 func (s *Scheduler) usableByService() map[string][]*executor {
 	pools := map[string][]*executor{}
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if e.isUsable(s.now) {
 			pools[e.info.Service] = append(pools[e.info.Service], e)
 		}
@@ -256,7 +256,7 @@
 		return Decision{}, false
 	}
 	room := fulmarjob.Resources{}
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if e.info.Service == j.queue.Service && e.isUsable(s.now) {
 			room = room.Plus(e.info.Capacity)
 		}
--- a/internal/fulmarsched/player_test.go
+++ b/internal/fulmarsched/player_test.go
@@ -126,12 +126,22 @@
 	e.ends = append(e.ends, fulmarjob.FinishedTask{Number: e.count, Task: r.task, Run: r.number, How: how})
 }
 
+// inOrder returns what runs by task, so that each play repeats.
+func (e *playedExecutor) inOrder() []*playedRun {
+	var runs []*playedRun
+	for _, r := range e.running {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *playedRun) int { return compareTasks(a.task, b.task) })
+	return runs
+}
+
 // advance ends what is due.
 func (e *playedExecutor) advance() {
 	if e.clock() > e.lease {
 		e.lapsed = e.count
 	}
-	for _, r := range e.running {
+	for _, r := range e.inOrder() {
 		switch {
 		case e.clock() > e.lease:
 			e.end(r, fulmarjob.EndedLapsed)
--- a/internal/fulmarsched/pool.go
+++ b/internal/fulmarsched/pool.go
@@ -48,7 +48,7 @@
 		}
 		return p
 	}
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		p := at(e.info.Service)
 		if !e.listed || e.retired {
 			continue
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -63,8 +63,8 @@
 	records = append(records, s.silenceRecords()...)
 	records = append(records, s.moveRecords()...)
 	records = append(records, s.forecastRecords()...)
-	for _, w := range s.waves {
-		if w.dirty {
+	for _, number := range s.waveNumbers() {
+		if w := s.waves[number]; w.dirty {
 			w.dirty = false
 			records = append(records, encode(w.key(), w.record()))
 		}
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -59,9 +59,11 @@
 	jobs          map[string]*job
 	order         []*job
 	executors     map[string]*executor
-	waves         map[int64]*wave
-	learned       map[string]*forecast
-	learnedAt     fulmarclock.Millis
+	// byID holds the same executors in the order of their IDs.
+	byID      []*executor
+	waves     map[int64]*wave
+	learned   map[string]*forecast
+	learnedAt fulmarclock.Millis
 	// summary is the state of the pools at the last tick.
 	summary map[string]*pool
 	vms     map[string]fulmarjob.VM
@@ -117,7 +119,7 @@
 // Tick does what is due by time alone.
 func (s *Scheduler) Tick(now fulmarclock.Millis, unix int64) {
 	s.now, s.unix = now, unix
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		s.watchOver(e)
 	}
 	for _, j := range s.order {
--- a/internal/fulmarsched/size.go
+++ b/internal/fulmarsched/size.go
@@ -69,7 +69,7 @@
 
 func (s *Scheduler) countVMs(byName map[string]*size) {
 	listed := map[string]bool{}
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		z := byName[e.info.Service]
 		if !e.listed || e.retired || z == nil {
 			continue
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -91,7 +91,7 @@
 }
 
 func (s *Scheduler) executorOfVM(vm string) *executor {
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if e.info.VM == vm && e.listed && !e.retired {
 			return e
 		}
@@ -255,7 +255,7 @@
 // nothing runs there, whichever life of its executor that is.
 func (s *Scheduler) emptyVM(u *vmUpkeep) bool {
 	empty := true
-	for _, e := range s.executors {
+	for _, e := range s.sorted() {
 		if e.retired || e.info.VM != u.vm && e.info.ID != u.beforeID {
 			continue
 		}
