The test of moves sends callers only to members that the balancer would use

Traced on a scratch copy beside six busy loops: 'member 2 not ready as the load begins', and just the requests of that member (4, 5, 10, 11, 16, 17, 22 and 23) were refused, with not-announced or no-configuration. The member says not-ready to the balancer then, as TestMemberUnknownToTheOthersTakesNoCallers demands; the test called it all the same. Ruled out: an untrue refusal (no refused request ran), the moves under test. The check stays as it was: every request through every member is answered.

--- a/internal/fulmardaemon/move_test.go
+++ b/internal/fulmardaemon/move_test.go
@@ -76,9 +76,20 @@
 	}
 	f.apply(mostInP)
 	f.eventually("the VMs are assigned", func() bool { return f.countIn("p") == 3 && f.countIn("q") == 1 })
+	f.eventually("the balancer would send callers to every member", f.allReady)
 	return f, planner
 }
 
+// allReady tells whether every member takes callers. The balancer sends none to the others, which refuse them.
+func (f *fleet) allReady() bool {
+	for _, m := range f.members {
+		if !m.daemon.Entry().IsReady() {
+			return false
+		}
+	}
+	return true
+}
+
 // keepBusy sends requests to both pools through every member until stop is closed.
 func (f *fleet) keepBusy(stop <-chan struct{}) (wait func() []reply) {
 	var all sync.WaitGroup
