Pools are sized by what callers hand in, before it is a backlog

Ruled out: too few VMs (standby was full), the time of a move itself, lasting tasks that pin VMs (each pool was down to 3 to 5 VMs between bursts).

Ready work is to begin within half a second, but takes no more than all ready tasks ask for at once. The refused work of late is part of that rate and is no figure of its own any more.

--- a/internal/fulmarsched/caller.go
+++ b/internal/fulmarsched/caller.go
@@ -41,10 +41,10 @@
 	}
 	j := newJob(sub.ID, sub.Queue, sub.Specification)
 	j.accepted, j.received = unix, now
+	s.noteDemand(j)
 	if refusal, refused := s.refusal(j); refused {
 		s.log.Decide("job refused", "job", j.id, "queue", j.queue.Name, "reason", refusal.Reason, "retry_after_ms", refusal.RetryAfter)
 		s.log.Count("refusals", refusal.Reason)
-		s.noteRefused(j)
 		return refusal
 	}
 	s.enter(j)
--- a/internal/fulmarsched/pool.go
+++ b/internal/fulmarsched/pool.go
@@ -25,6 +25,8 @@
 	// backlog is the waiting work in milliseconds of a thousandth of a core, due the part of it whose turn has come.
 	backlog float64
 	due     float64
+	// width is the thousandths of a core that the ready tasks ask for together.
+	width int64
 	// spread is the most executors that a step needs for its bound on tasks of one executor.
 	spread int
 }
@@ -95,6 +97,7 @@
 		if o.stepReady(j, i) {
 			p.ready += waiting
 			p.due += work
+			p.width += int64(waiting) * step.Counted().MilliCPU
 		}
 	}
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -75,7 +75,7 @@
 	inherited map[string]bool
 	// barred holds the VMs and pools, with a blank between, that the platform does not let together.
 	barred     map[string]bool
-	refused    map[string]refusedWork
+	demands    map[string]*demand
 	balancedAt fulmarclock.Millis
 
 	dirty   []*job
@@ -95,7 +95,7 @@
 		bounds: bounds, token: token, log: log, now: now, openedAt: now,
 		jobs: map[string]*job{}, executors: map[string]*executor{}, waves: map[int64]*wave{},
 		learned: map[string]*forecast{}, vms: map[string]fulmarjob.VM{}, advice: map[stepKey]*advice{}, moves: map[string]*vmMove{}, inherited: map[string]bool{},
-		barred: map[string]bool{}, refused: map[string]refusedWork{},
+		barred: map[string]bool{}, demands: map[string]*demand{},
 	}
 }
 
--- a/internal/fulmarsched/size.go
+++ b/internal/fulmarsched/size.go
@@ -10,7 +10,7 @@
 
 const (
 	// backlogHorizon is how soon waiting work should have begun.
-	backlogHorizon = 1000 * fulmarclock.Millis(1)
+	backlogHorizon = 500 * fulmarclock.Millis(1)
 	// laterHorizon is how soon the work of later steps follows.
 	laterHorizon = 3000 * fulmarclock.Millis(1)
 	// targetFill is the part of a VM that short tasks can fill, as they come in lumps.
@@ -54,16 +54,20 @@
 	return sizes
 }
 
-// neededVMs returns how many VMs would carry a pool's running tasks, begin its
-// waiting ones in time, and take what was refused of late.
+// neededVMs returns how many VMs would carry a pool's running tasks and the work
+// that callers keep handing in, and begin the waiting tasks in time. It answers the
+// start of a burst: VMs take long to arrive, so the arrivals count before they have
+// become a backlog.
 func (s *Scheduler) neededVMs(p *pool) int {
 	each := p.vmCores()
 	if each == 0 {
 		return leastVMs
 	}
 	// Later steps follow on those that run now, so they need room of their own only where they are more.
-	running := max(float64(p.used.MilliCPU), (p.backlog-p.due)/float64(laterHorizon))
-	cores := running + p.due/float64(backlogHorizon) + s.refusedRate(p.service)
+	running := max(float64(p.used.MilliCPU), (p.backlog-p.due)/float64(laterHorizon), s.demands[p.service].rate(s.now))
+	// Waiting tasks take no more than what all of them together ask for.
+	waiting := min(p.due/float64(backlogHorizon), float64(p.width))
+	cores := running + waiting
 	return max(int(math.Ceil(cores/(targetFill*each)))+spareVMs, p.spread+spareVMs, leastVMs)
 }
 
@@ -100,31 +104,3 @@
 		})
 	}
 }
-
-// refusedDecay is the time in which refused work loses two thirds of its weight.
-const refusedDecay = 800.0
-
-// refusedWork is work that was refused of late, fading away.
-type refusedWork struct {
-	work float64
-	at   fulmarclock.Millis
-}
-
-func (s *Scheduler) noteRefused(j *job) {
-	work := 0.0
-	for i := range j.specification.Steps {
-		step := &j.specification.Steps[i]
-		work += float64(step.Count) * float64(step.Need.MilliCPU) * float64(s.estimate(j, step))
-	}
-	r := s.refused[j.queue.Service]
-	s.refused[j.queue.Service] = refusedWork{work: r.faded(s.now) + work, at: s.now}
-}
-
-func (r refusedWork) faded(now fulmarclock.Millis) float64 {
-	return r.work * math.Exp(-float64(now-r.at)/refusedDecay)
-}
-
-// refusedRate returns the thousandths of a core that refused work would have kept busy.
-func (s *Scheduler) refusedRate(service string) float64 {
-	return s.refused[service].faded(s.now) / refusedDecay
-}
