A stand-in of the jobs' platform, and members that run against it

internal/fulmarstandin/fulmarrig stands in for the store (conditional writes, leases, watches), the API of VMs (moves, upkeep, fencing tokens) and the executors (tokens, run numbers, leases, ends until they are acknowledged) on the loopback address. fulmarbench jobs runs members, the stand-in and callers in one process, with a crash, a wave and a stop of the owner, and writes a profile of the processor time. TestJobsEndOnceThroughMembers plays six disturbances on three whole members and checks each run that the executors saw. Not covered: advice, pacing, checkpoints, gangs and labels, which the stand-in does not know.

--- /dev/null
+++ b/internal/fulmarbench/jobs_test.go
@@ -0,0 +1,73 @@
+package fulmarbench
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarstandin/fulmarrig"
+)
+
+// checkRuns fails when two runs of a task were present at a time, or one began after another was done.
+func checkRuns(t *testing.T, runs []fulmarrig.Run) {
+	t.Helper()
+	byTask := map[string][]fulmarrig.Run{}
+	for _, r := range runs {
+		for _, earlier := range byTask[r.Task] {
+			quicktest.Check(t, earlier.Ended > 0 && earlier.Ended <= r.Began, quicktest.IsTrue, quicktest.Commentf("%+v beside %+v", r, earlier))
+			quicktest.Check(t, earlier.How != "done", quicktest.IsTrue, quicktest.Commentf("%+v after %+v", r, earlier))
+			quicktest.Check(t, r.Number > earlier.Number, quicktest.IsTrue, quicktest.Commentf("%+v after %+v", r, earlier))
+			quicktest.Check(t, r.Token >= earlier.Token, quicktest.IsTrue, quicktest.Commentf("%+v after %+v", r, earlier))
+		}
+		byTask[r.Task] = append(byTask[r.Task], r)
+	}
+}
+
+// Whole members against the platform's stand-in: every job ends, each of its tasks
+// is done once, whatever happens meanwhile.
+func TestJobsEndOnceThroughMembers(t *testing.T) {
+	rows := []struct {
+		name    string
+		disturb func(f *jobFleet)
+	}{
+		{"calm", func(*jobFleet) {}},
+		{"the owner stops", func(f *jobFleet) { f.owner().cancel() }},
+		{"every member stops in turn but one", func(f *jobFleet) {
+			for _, m := range f.members[1:] {
+				m.cancel()
+				<-m.ended
+				m.ended <- nil
+			}
+		}},
+		{"a VM crashes", func(f *jobFleet) { f.rig.Crash(f.rig.VMs(jobService(0))[0], fulmarclock.Second) }},
+		{"the store is away", func(f *jobFleet) {
+			f.rig.SetStoreDown(true)
+			time.Sleep(2 * time.Second)
+			f.rig.SetStoreDown(false)
+		}},
+		{"a wave of upkeep", func(f *jobFleet) {
+			_ = f.rig.RequestWave(1, f.rig.VMs(jobService(0)), fulmarclock.Minute, 1)
+		}},
+	}
+	for _, r := range rows {
+		t.Run(r.name, func(t *testing.T) {
+			t.Parallel()
+			fleet, err := startJobFleet(3, 1, 4)
+			defer fleet.close()
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, fleet.awaitOwner(context.Background()), quicktest.IsNil)
+			load := JobLoad{Queues: 1, Rate: 10, Tasks: 4, Duration: 3 * time.Second, Seed: 1}
+			go func() {
+				time.Sleep(load.Duration / 3)
+				r.disturb(fleet)
+			}()
+			result := handIn(context.Background(), fleet.targets(), load)
+			quicktest.Check(t, result.failed, quicktest.Equals, 0)
+			quicktest.Check(t, result.inAim+result.late > 0, quicktest.IsTrue)
+			checkRuns(t, fleet.rig.Runs())
+		})
+	}
+}
--- a/internal/fulmarbench/main.go
+++ b/internal/fulmarbench/main.go
@@ -33,6 +33,9 @@
 	targets     string
 	pools       string
 	load        Load
+	jobs        JobLoad
+	profile     string
+	calm        bool
 }
 
 // Main runs one command and returns the exit code.
@@ -88,7 +91,20 @@
 	rollout.Flag("members", "Number of members.").Default("7").IntVar(&o.members)
 	rollout.Flag("changes", "Number of changes.").Default("100").IntVar(&o.changes)
 	rollout.Flag("faults", "Lose answers of the key-value service and slow it down meanwhile.").BoolVar(&o.faults)
+	jobs := app.Command("jobs", "Run members of fulmarnoded, a stand-in of their platform and callers who hand jobs in, in one process.")
+	jobs.Flag("members", "Number of members.").Default("3").IntVar(&o.members)
+	jobs.Flag("queues", "Number of queues, each with a pool of its own; a standby pool is added.").Default("2").IntVar(&o.jobs.Queues)
+	jobs.Flag("vms", "VMs of each pool.").Default("4").IntVar(&o.count)
+	jobs.Flag("rate", "Mean jobs a second of each queue.").Default("4").Float64Var(&o.jobs.Rate)
+	jobs.Flag("tasks", "Tasks of each job.").Default("6").IntVar(&o.jobs.Tasks)
+	jobs.Flag("turn", "Each queue in its turn asks for its share of all jobs for so long, the others for a twentieth of their mean.").
+		Default("5s").DurationVar(&o.jobs.Turn)
+	jobs.Flag("duration", "Length of the load.").Default("20s").DurationVar(&o.jobs.Duration)
+	jobs.Flag("calm", "No crash, no change of the owner and no wave.").BoolVar(&o.calm)
+	jobs.Flag("seed", "Seed of the load.").Default("1").Uint64Var(&o.jobs.Seed)
+	jobs.Flag("profile", "File for a profile of the processor time.").StringVar(&o.profile)
 	return app, map[string]action{
+		jobs.FullCommand():     runJobs,
 		rollout.FullCommand():  runRollout,
 		platform.FullCommand(): runPlatform, worker.FullCommand(): runWorkers,
 		load.FullCommand(): runLoad, demo.FullCommand(): runDemo,
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -85,10 +85,21 @@
 		}
 		n.sockets = append(n.sockets, socket)
 	}
+	// A port that the settings leave to the system is known only now.
+	n.settings.Peers = n.sockets[3].Addr().String()
 	n.assemble()
 	return n, nil
 }
 
+// Callers returns the address at which the member takes callers.
+func (n *Node) Callers() string { return n.sockets[0].Addr().String() }
+
+// OwnsScheduler tells whether the member owns the scheduler, as far as it knows.
+func (n *Node) OwnsScheduler() bool {
+	owner, owned := n.candidate.Owner()
+	return owned && owner.Peers == n.settings.Peers
+}
+
 func (n *Node) closeSockets() {
 	for _, s := range n.sockets {
 		if err := s.Close(); err != nil {
--- a/internal/fulmarnode/settings.go
+++ b/internal/fulmarnode/settings.go
@@ -55,6 +55,9 @@
 	FleetTurnMillis: 3000, UpkeepSeconds: 2, MoveSeconds: 2, StopProcessSeconds: 6,
 }
 
+// DefaultBounds returns the bounds that stand for those that a file leaves out.
+func DefaultBounds() BoundSettings { return fallback }
+
 // LoadSettings reads and checks the file at path.
 func LoadSettings(path string) (Settings, error) {
 	s := Settings{LogLevel: "info", Bounds: fallback}
