--- a/internal/fulmarledger/journal.go
+++ b/internal/fulmarledger/journal.go
@@ -63,6 +63,7 @@
 	segments []*segment
 	newest   map[string]*segment
 	retries  func(error)
+	encoder  segmentEncoder
 	// usual is the usual time of an append in milliseconds.
 	usual float64
 }
@@ -179,7 +180,7 @@
 // Append adds records, whole or not at all, and returns once they are stored. It
 // goes on through outages of the store until ctx ends or the claim is lost.
 func (j *Journal) Append(ctx context.Context, records []Record) error {
-	value, err := encodeSegment(records)
+	value, err := j.encoder.encode(records)
 	if err != nil {
 		return err
 	}
--- a/internal/fulmarledger/segment.go
+++ b/internal/fulmarledger/segment.go
@@ -9,23 +9,36 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
-// encodeSegment returns records as compressed JSON: a new owner reads them all,
-// over a link that may be slow.
-func encodeSegment(records []Record) ([]byte, error) {
+// segmentEncoder encodes segments one after another. Its compressor is kept, as a
+// new one takes more memory than most segments.
+type segmentEncoder struct{ compressor *flate.Writer }
+
+// encode returns records as compressed JSON: a new owner reads them all, over a
+// link that may be slow.
+func (s *segmentEncoder) encode(records []Record) ([]byte, error) {
 	var buffer bytes.Buffer
-	compressor, err := flate.NewWriter(&buffer, flate.BestSpeed)
-	if err != nil {
+	if err := s.open(&buffer); err != nil {
 		return nil, &fulmarjob.FormatError{What: "a segment", Cause: err}
 	}
-	if err := json.NewEncoder(compressor).Encode(records); err != nil {
+	if err := json.NewEncoder(s.compressor).Encode(records); err != nil {
 		return nil, &fulmarjob.FormatError{What: "a segment", Cause: err}
 	}
-	if err := compressor.Close(); err != nil {
+	if err := s.compressor.Close(); err != nil {
 		return nil, &fulmarjob.FormatError{What: "a segment", Cause: err}
 	}
 	return buffer.Bytes(), nil
 }
 
+func (s *segmentEncoder) open(out io.Writer) error {
+	if s.compressor != nil {
+		s.compressor.Reset(out)
+		return nil
+	}
+	var err error
+	s.compressor, err = flate.NewWriter(out, flate.BestSpeed)
+	return err
+}
+
 func decodeSegment(key string, value []byte) ([]Record, error) {
 	var records []Record
 	plain, err := io.ReadAll(flate.NewReader(bytes.NewReader(value)))
