--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -271,3 +272,59 @@
 	})
 	quicktest.Assert(t, least, quicktest.Equals, 2)
 }
+
+// The end of a lasting task that was moved off a VM must be in the journal before
+// the VM goes down: the next owner would wait for a lease that has long ended.
+func TestAnUpkeepWaitsForTheJournal(t *testing.T) {
+	w := newWorld(t, 3)
+	w.behave = endless
+	w.play(1200)
+	w.submit(jobID(1), lasting(1, 1))
+	w.playUntil(4000, "the task serves", func() bool { return w.atWork(jobID(1)) == 1 })
+	host := w.find(Target{ID: w.runs[0].executor})
+	w.play(6000)
+	w.scheduler.SeeWave(w.now, fulmarjob.Wave{Number: 1, VMs: []string{host.info.VM}, Within: 60 * fulmarclock.Second, MaxDown: 1})
+	w.playUntil(w.now+1000, "the task is being stopped", func() bool {
+		return slices.ContainsFunc(host.inOrder(), func(r *playedRun) bool { return r.stopping })
+	})
+	w.storeDown = true
+	w.play(w.now + 3000)
+	quicktest.Assert(t, w.upkeeps, quicktest.HasLen, 0)
+	w.storeDown = false
+	w.newOwner()
+	w.playUntil(w.now+2500, "the task serves elsewhere", func() bool { return w.atWork(jobID(1)) == 1 })
+}
+
+// A VM that is back with another executor runs nothing of its former life, also as
+// an owner sees it that never met that life.
+func TestALaterLifeFreesTheTasksOfItsVMForANewOwner(t *testing.T) {
+	w := newWorld(t, 2)
+	w.behave = endless
+	w.play(1200)
+	w.submit(jobID(1), lasting(1, 1))
+	w.playUntil(4000, "the task serves", func() bool { return w.atWork(jobID(1)) == 1 })
+	host := w.find(Target{ID: w.runs[0].executor})
+	host.crash()
+	w.newOwner()
+	w.play(w.now + 500)
+	w.addExecutor("x-back", host.info.VM)
+	w.playUntil(w.now+2500, "the task serves again", func() bool { return w.atWork(jobID(1)) == 1 })
+}
+
+// The platform confirms an upkeep that it carried out for the owner before; the VM's
+// present executor is the life after it and must be used.
+func TestAnUpkeepThatWasDoneBeforeEndsNothing(t *testing.T) {
+	w := newWorld(t, 3)
+	w.play(6000)
+	w.scheduler.SeeWave(w.now, fulmarjob.Wave{Number: 1, VMs: []string{"vm-0"}, Within: 60 * fulmarclock.Second, MaxDown: 1})
+	w.playUntil(w.now+1000, "the upkeep is ordered", func() bool { return len(w.upkeeps) == 1 })
+	w.storeDown = true
+	w.play(w.now + testBounds.Upkeep + 500)
+	w.storeDown = false
+	w.newOwner()
+	w.playUntil(w.now+8000, "the VM is back", func() bool { return w.scheduler.waves[1].vms[0].done })
+	for _, e := range w.scheduler.sorted() {
+		quicktest.Check(t, e.isUsable(w.now), quicktest.IsTrue, quicktest.Commentf("%s on %s", e.info.ID, e.info.VM))
+	}
+	quicktest.Assert(t, len(w.scheduler.executors), quicktest.Equals, 3)
+}
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -94,6 +94,7 @@
 	if !wasFenced {
 		s.log.Decide("executor taken over", "executor", e.info.ID, "running", len(r.Running), "ended", len(r.Finished), "placed", len(e.tasks))
 	}
+	s.outlivedUpkeep(e, sent)
 	s.takeEnds(e, r.Finished)
 	s.takeRunning(e, sent, r.Running)
 	s.setPaces(e)
@@ -206,6 +207,7 @@
 			continue
 		}
 		if m.executor != nil {
+			m.executor.idleSince = s.now
 			m.executor.remove(m)
 		}
 		m.state = taskDone
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -47,9 +47,11 @@
 	Attempts int       `json:"a,omitempty"`
 	Executor string    `json:"e,omitempty"`
 	Born     int64     `json:"b,omitempty"`
-	Saved    string    `json:"c,omitempty"`
-	Begun    bool      `json:"g,omitempty"`
-	Leaving  bool      `json:"l,omitempty"`
+	// VM is the executor's VM, as a later life on it ends the executor's.
+	VM      string `json:"v,omitempty"`
+	Saved   string `json:"c,omitempty"`
+	Begun   bool   `json:"g,omitempty"`
+	Leaving bool   `json:"l,omitempty"`
 }
 
 // records returns the records of all that changed and of due keys.
@@ -159,7 +161,7 @@
 		for i, t := range tasks {
 			rows[i] = taskRecord{State: t.state, Run: t.run, Attempts: t.attempts, Saved: t.saved, Begun: t.job.begun, Leaving: t.leaving}
 			if t.state == taskPlaced {
-				rows[i].Executor, rows[i].Born = t.executor.info.ID, t.executor.info.Born
+				rows[i].Executor, rows[i].Born, rows[i].VM = t.executor.info.ID, t.executor.info.Born, t.executor.info.VM
 			}
 		}
 		r.Steps = append(r.Steps, rows)
@@ -275,7 +277,7 @@
 	e := s.executors[row.Executor]
 	if e == nil {
 		e = s.newExecutor(row.Executor)
-		e.info.Born = row.Born
+		e.info.Born, e.info.VM = row.Born, row.VM
 		e.deadBy = longestFrom(s.now, s.bounds.MaxHold)
 	}
 	e.add(t)
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -77,6 +77,8 @@
 	barred     map[string]bool
 	demands    map[string]*demand
 	balancedAt fulmarclock.Millis
+	// journaled is the time up to which the journal holds all that has changed.
+	journaled fulmarclock.Millis
 
 	dirty   []*job
 	starts  []*task
@@ -135,6 +137,8 @@
 // Batch is what the journal must hold before its orders go out.
 type Batch struct {
 	Records []Record
+	// planned is when the batch was put together.
+	planned fulmarclock.Millis
 	starts  []*task
 	ends    []endCursor
 	waves   []*vmUpkeep
@@ -160,7 +164,7 @@
 func (s *Scheduler) Plan(now fulmarclock.Millis, unix int64, due []string) *Batch {
 	s.now, s.unix = now, unix
 	s.place()
-	b := &Batch{starts: s.starts, waves: s.waved, ended: s.ended, moves: s.moved, leavers: s.leavers}
+	b := &Batch{planned: now, starts: s.starts, waves: s.waved, ended: s.ended, moves: s.moved, leavers: s.leavers}
 	b.Records = s.records(due)
 	for _, e := range s.seen {
 		e.queued = false
@@ -168,12 +172,15 @@
 	}
 	s.starts, s.seen, s.waved, s.ended, s.moved = nil, nil, nil, nil, nil
 	s.leavers = nil
+	if b.IsEmpty() {
+		s.journaled = now
+	}
 	return b
 }
 
 // Committed releases the orders of a batch that the journal holds.
 func (s *Scheduler) Committed(now fulmarclock.Millis, b *Batch) {
-	s.now = now
+	s.now, s.journaled = now, b.planned
 	s.settleSilences(b.Records)
 	for _, t := range b.starts {
 		t.stored = true
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -252,7 +252,9 @@
 }
 
 // emptyVM keeps new tasks away from a VM, moves lasting ones, and tells whether
-// nothing runs there, whichever life of its executor that is.
+// nothing runs there, whichever life of its executor that is. The journal must hold
+// that too: a later owner could not know that the order has ended the life, and would
+// wait for the lease of the tasks that the journal still places there.
 func (s *Scheduler) emptyVM(u *vmUpkeep) bool {
 	empty := true
 	for _, e := range s.sorted() {
@@ -264,7 +266,7 @@
 			u.beforeID, u.beforeBorn = e.info.ID, e.info.Born
 		}
 		s.moveLasting(e)
-		empty = empty && len(e.tasks) == 0
+		empty = empty && len(e.tasks) == 0 && e.idleSince < s.journaled
 	}
 	return empty
 }
@@ -328,8 +330,10 @@
 		}
 		if done && u.ordered == 0 {
 			u.ordered = now
-			s.retireLife(u.beforeID, u.beforeBorn, "its VM is in upkeep")
-			s.log.Decide("upkeep began", "vm", vm, "wave", number)
+			s.log.Decide("upkeep confirmed", "vm", vm, "wave", number)
+			if e := s.executors[u.beforeID]; e != nil && e.info.Born == u.beforeBorn {
+				s.probe(e)
+			}
 		}
 		if impossible {
 			u.done, w.dirty = true, true
@@ -338,6 +342,22 @@
 	}
 }
 
+// outlivedUpkeep counts a VM as back whose executor answers a question that was
+// asked after the platform had confirmed the upkeep: an owner before has ordered it,
+// and this is already the life after it.
+func (s *Scheduler) outlivedUpkeep(e *executor, asked fulmarclock.Millis) {
+	for _, w := range s.waves {
+		for _, u := range w.vms {
+			if u.vm != e.info.VM || u.done || u.ordered == 0 || asked <= u.ordered {
+				continue
+			}
+			u.done, w.dirty = true, true
+			e.cordoned = false
+			s.log.Decide("upkeep was done before", "vm", u.vm, "wave", w.wave.Number, "executor", e.info.ID)
+		}
+	}
+}
+
 // returnedVM notes that a VM is back from its upkeep when its executor has a later life.
 func (s *Scheduler) returnedVM(e *executor) {
 	for _, w := range s.waves {
--- a/internal/fulmarsched/world_test.go
+++ b/internal/fulmarsched/world_test.go
@@ -300,8 +300,10 @@
 	case HoldOrder:
 		w.carryOutHold(o, lost, answer)
 	case UpkeepOrder:
-		w.upkeeps = append(w.upkeeps, o.VM)
-		w.takeDown(o.VM, testBounds.Upkeep, testService)
+		if !slices.Contains(w.upkeeps, o.VM) {
+			w.upkeeps = append(w.upkeeps, o.VM)
+			w.takeDown(o.VM, testBounds.Upkeep, testService)
+		}
 		answer(w.now+worldStep, func() { w.scheduler.UpkeepAnswered(w.now, o.VM, o.Wave, true, false) })
 	case MoveOrder:
 		w.movesMade = append(w.movesMade, o)
