Orders are sent again only when they take much longer than usual

Cause: an order without an answer for 120 ms was sent again beside the first copy.

Change: fulmarhedge.Usual learns how long calls take; a copy goes out after four times that, within the former bounds.

--- a/internal/fulmarledger/journal.go
+++ b/internal/fulmarledger/journal.go
@@ -27,11 +27,9 @@
 	movedRecords = 24
 	// removedSegments bounds the segments that one append removes.
 	removedSegments = 24
-	// An append is sent again after hedgeOverUsual times its usual time, but not before leastHedge.
-	hedgeOverUsual = 4.0
-	leastHedge     = 60 * fulmarclock.Millis(1)
-	mostHedges     = 4
-	usualWeight    = 0.2
+	// leastHedge is the shortest wait before an append is sent again beside the first copy.
+	leastHedge = 60 * fulmarclock.Millis(1)
+	mostHedges = 4
 	// retryPause is the wait before an append that was not carried out is sent again.
 	retryPause = 40 * fulmarclock.Millis(1)
 	// pageLimit bounds the wait for one page of the journal.
@@ -64,14 +62,13 @@
 	newest   map[string]*segment
 	retries  func(error)
 	encoder  segmentEncoder
-	// usual is the usual time of an append in milliseconds.
-	usual float64
+	usual    *fulmarhedge.Usual
 }
 
 // Open reads the journal of all owners so far and returns the records that hold.
 // retries is told of each attempt of an append that failed.
 func Open(ctx context.Context, store Store, clock fulmarclock.Clock, claim *Claim, retries func(error)) (*Journal, []Record, error) {
-	j := &Journal{store: store, clock: clock, claim: claim, newest: map[string]*segment{}, retries: retries}
+	j := &Journal{store: store, clock: clock, claim: claim, newest: map[string]*segment{}, retries: retries, usual: fulmarhedge.NewUsual(leastHedge, appendLimit/2, mostHedges)}
 	values := map[string]json.RawMessage{}
 	after := ""
 	for {
@@ -230,12 +227,6 @@
 	}
 }
 
-// hedge sends a transaction again when it takes much longer than usual.
-func (j *Journal) hedge() fulmarhedge.Plan {
-	after := fulmarclock.Millis(j.usual * hedgeOverUsual)
-	return fulmarhedge.Plan{After: min(max(after, leastHedge), appendLimit/2), Most: mostHedges}
-}
-
 // isSettled tells whether the store has answered, be it with a conflict.
 func isSettled(_ int64, err error) bool {
 	var unknown *fulmarjob.UnknownError
@@ -248,11 +239,11 @@
 	limited, cancel := context.WithTimeout(ctx, appendLimit.Duration())
 	defer cancel()
 	began := j.clock.Now()
-	revision, err := fulmarhedge.Do(limited, j.clock, j.hedge(), func(own context.Context) (int64, error) {
+	revision, err := fulmarhedge.Do(limited, j.clock, j.usual.Plan(), func(own context.Context) (int64, error) {
 		return j.store.Commit(own, t)
 	}, isSettled)
 	if err == nil {
-		j.usual += (float64(j.clock.Now()-began) - j.usual) * usualWeight
+		j.usual.Note(j.clock.Now() - began)
 	}
 	var conflict *ConflictError
 	if !errors.As(err, &conflict) {
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
-	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 )
 
 const (
@@ -19,6 +18,10 @@
 	tick = 50 * fulmarclock.Millis(1)
 	// orderLimit bounds the wait for an executor's answer to an order.
 	orderLimit = 800 * fulmarclock.Millis(1)
+	// leastCopyWait is the shortest wait before an order is sent again beside an unanswered copy.
+	leastCopyWait = 120 * fulmarclock.Millis(1)
+	// orderCopies bounds the copies of an order, the first among them.
+	orderCopies = 4
 	// holdSlack is added to the time that a renewal may wait for an end.
 	holdSlack = 1000 * fulmarclock.Millis(1)
 	// holdHedges bounds the copies of a renewal.
@@ -40,6 +43,3 @@
 	// executorPause passes between two watches of the executors' entries.
 	executorPause = 30 * fulmarclock.Millis(1)
 )
-
-// orderHedge is how an order to an executor is repeated beside an unanswered copy.
-var orderHedge = fulmarhedge.Plan{After: 120, Most: 4}
--- a/internal/fulmarowner/order.go
+++ b/internal/fulmarowner/order.go
@@ -37,18 +37,22 @@
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
 	began := r.options.Clock.Now()
-	answer, err := fulmarhedge.Do(limited, r.options.Clock, orderHedge, func(own context.Context) (fulmarjob.Answer, error) {
+	answer, err := fulmarhedge.Do(limited, r.options.Clock, r.usual.Plan(), func(own context.Context) (fulmarjob.Answer, error) {
 		return r.options.Executors.Start(own, o.Target.Address, o.Target.ID, o.Start)
 	}, isAnswered)
 	r.noteOrder("start", o.Target.ID, answer, err)
-	r.options.Counters.Observe("start_order", r.options.Clock.Now()-began)
+	took := r.options.Clock.Now() - began
+	if isAnswered(answer, err) {
+		r.usual.Note(took)
+	}
+	r.options.Counters.Observe("start_order", took)
 	r.send(startAnswered{o, answer})
 }
 
 func (r *reign) stop(ctx context.Context, o fulmarsched.StopOrder) {
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
-	answer, err := fulmarhedge.Do(limited, r.options.Clock, orderHedge, func(own context.Context) (fulmarjob.Answer, error) {
+	answer, err := fulmarhedge.Do(limited, r.options.Clock, r.usual.Plan(), func(own context.Context) (fulmarjob.Answer, error) {
 		return r.options.Executors.Stop(own, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token)
 	}, isAnswered)
 	r.noteOrder("stop", o.Target.ID, answer, err)
@@ -60,7 +64,7 @@
 	defer cancel()
 	sent := r.options.Clock.Now()
 	var copies atomic.Int32
-	plan := fulmarhedge.Plan{After: o.Wait + orderHedge.After, Most: holdHedges}
+	plan := fulmarhedge.Plan{After: o.Wait + r.usual.Plan().After, Most: holdHedges}
 	result, err := fulmarhedge.Do(limited, r.options.Clock, plan, func(own context.Context) (held, error) {
 		wait := o.Wait
 		if copies.Add(1) > 1 {
--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -8,6 +8,7 @@
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarfollow"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
@@ -23,6 +24,8 @@
 	events    chan event
 	ended     chan struct{}
 	calls     sync.WaitGroup
+	// usual is how long executors take to answer an order.
+	usual *fulmarhedge.Usual
 
 	// The fields below belong to the goroutine that holds the scheduler.
 	appending  bool
@@ -37,6 +40,7 @@
 	return &reign{
 		options: c.options, candidate: c, claim: claim,
 		events: make(chan event, ringEvents), ended: make(chan struct{}),
+		usual: fulmarhedge.NewUsual(leastCopyWait, orderLimit/2, orderCopies),
 	}
 }
 
