Renewals at busy executors are spread by what the owner's processor can carry

Change: the least time between two renewals at one executor grows with the number of busy executors over what the member's cores carry (settings: cores), within 40 and 200 ms. The garbage collector runs at four times the memory in use instead of twice.

Test: TestRenewalsAreSparedWhereManyExecutorsAreBusy.

--- a/internal/fulmarnode/main.go
+++ b/internal/fulmarnode/main.go
@@ -13,6 +13,10 @@
 // memoryShare is the part of the memory limit from which the collector works harder.
 const memoryShare = 0.7
 
+// collectAfter is by how much the memory in use may grow before the next collection, in percent: the limit is far
+// above what a member uses, and its processor is not.
+const collectAfter = 400
+
 const megabyte = 1 << 20
 
 // Main runs a member with the settings at path until a signal stops it.
@@ -29,6 +33,7 @@
 		return nil
 	}
 	setLevel(logger, settings.LogLevel)
+	debug.SetGCPercent(collectAfter)
 	debug.SetMemoryLimit(int64(float64(settings.MemoryMB*megabyte) * memoryShare))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -118,7 +118,7 @@
 		Store: n.store, Executors: n.executors, Fleet: n.fleet, Advice: n.advice, Reports: storeFormat{}, Entries: storeFormat{},
 		Clock: n.clock, Awake: fulmarclock.NewBoot(), Logger: n.logger, Counters: n.metrics,
 		Self:   fulmarledger.Owner{Member: n.settings.Member, Peers: n.settings.Peers},
-		Bounds: n.settings.Bounds.Scheduler(), Lease: n.settings.Bounds.Lease(),
+		Bounds: n.settings.Scheduler(), Lease: n.settings.Bounds.Lease(),
 		ClaimDelay: n.settings.ClaimDelay(),
 	})
 	n.router = fulmarfront.NewRouter(n.candidate, n.clock, n.logger, n.metrics, n.settings.Peers)
--- a/internal/fulmarnode/settings.go
+++ b/internal/fulmarnode/settings.go
@@ -109,12 +109,17 @@
 	return fulmarclock.Millis(b.LeaseMinMillis * leaseOverMinimum)
 }
 
+// reportsPerCore is how many renewals a second a whole core may spend itself on.
+const reportsPerCore = 1200.0
+
 // Scheduler returns the bounds that the scheduler's decisions depend on.
-func (b BoundSettings) Scheduler() fulmarsched.Bounds {
+func (s Settings) Scheduler() fulmarsched.Bounds {
+	b := s.Bounds
 	return fulmarsched.Bounds{
 		MaxHold: fulmarclock.Millis(b.HoldMaxMillis), StopWithin: fulmarclock.Millis(b.StopWithinMillis),
-		StatusKept: fulmarclock.Millis(b.StatusKeptSeconds * millisInSecond),
-		OwnerPause: fulmarclock.Millis(b.FleetTurnMillis),
-		Upkeep:     fulmarclock.Millis(b.UpkeepSeconds * millisInSecond), Move: fulmarclock.Millis(b.MoveSeconds * millisInSecond),
+		StatusKept:       fulmarclock.Millis(b.StatusKeptSeconds * millisInSecond),
+		OwnerPause:       fulmarclock.Millis(b.FleetTurnMillis),
+		ReportsPerSecond: s.Cores * reportsPerCore,
+		Upkeep:           fulmarclock.Millis(b.UpkeepSeconds * millisInSecond), Move: fulmarclock.Millis(b.MoveSeconds * millisInSecond),
 	}
 }
--- a/internal/fulmarnode/settings_test.go
+++ b/internal/fulmarnode/settings_test.go
@@ -30,7 +30,7 @@
 func TestWholeSettings(t *testing.T) {
 	s, err := load(t, wholeSettings)
 	quicktest.Assert(t, err, quicktest.IsNil)
-	bounds := s.Bounds.Scheduler()
+	bounds := s.Scheduler()
 	quicktest.Assert(t, int(bounds.MaxHold), quicktest.Equals, 8000)
 	quicktest.Assert(t, int(bounds.Move), quicktest.Equals, 1500)
 	quicktest.Assert(t, int(bounds.StatusKept), quicktest.Equals, 120000)
--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -23,6 +23,8 @@
 	sharedPoll = 400 * fulmarclock.Millis(1)
 	// minHoldGap is the least time between two renewals at one executor.
 	minHoldGap = 40 * fulmarclock.Millis(1)
+	// maxHoldGap bounds that time where many executors are busy.
+	maxHoldGap = 200 * fulmarclock.Millis(1)
 	// stalledHoldGap is that time while ends wait for the journal.
 	stalledHoldGap = 500 * fulmarclock.Millis(1)
 	// probeGap is the time between two calls to an executor that does not answer.
--- a/internal/fulmarsched/demand_test.go
+++ b/internal/fulmarsched/demand_test.go
@@ -80,3 +80,16 @@
 	quicktest.Assert(t, rate > 400 && rate < 600, quicktest.IsTrue, quicktest.Commentf("%f for 500", rate))
 	quicktest.Assert(t, d.rate(10000) < 1, quicktest.IsTrue)
 }
+
+func TestRenewalsAreSparedWhereManyExecutorsAreBusy(t *testing.T) {
+	w := newWorld(t, 30)
+	w.behave = endless
+	w.play(1200)
+	w.scheduler.bounds.ReportsPerSecond = 200
+	quicktest.Assert(t, w.scheduler.reportGap(), quicktest.Equals, minHoldGap)
+	w.submit(jobID(1), lasting(30, 1))
+	w.playUntil(4000, "all tasks serve", func() bool { return w.atWork(jobID(1)) == 30 })
+	quicktest.Assert(t, w.scheduler.reportGap(), quicktest.Equals, fulmarclock.Millis(150))
+	w.scheduler.bounds.ReportsPerSecond = 10
+	quicktest.Assert(t, w.scheduler.reportGap(), quicktest.Equals, maxHoldGap)
+}
--- a/internal/fulmarsched/hold.go
+++ b/internal/fulmarsched/hold.go
@@ -112,10 +112,26 @@
 	case e.seen > e.acknowledged:
 		s.scheduleHold(e, s.now+stalledHoldGap)
 	default:
-		s.scheduleHold(e, max(s.now, e.holdSent+minHoldGap))
+		s.scheduleHold(e, max(s.now, e.holdSent+s.holdGap))
 	}
 }
 
+// reportGap returns the least time between two renewals at one executor. Where many
+// executors are busy, one renewal takes in several ends.
+func (s *Scheduler) reportGap() fulmarclock.Millis {
+	if s.bounds.ReportsPerSecond <= 0 {
+		return minHoldGap
+	}
+	busy := 0
+	for _, e := range s.byID {
+		if len(e.tasks) > 0 {
+			busy++
+		}
+	}
+	gap := fulmarclock.Millis(float64(busy) / s.bounds.ReportsPerSecond * float64(fulmarclock.Second))
+	return min(max(gap, minHoldGap), maxHoldGap)
+}
+
 func (s *Scheduler) takeEnds(e *executor, ends []fulmarjob.FinishedTask) {
 	for _, f := range ends {
 		if f.Number <= e.seen {
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -37,6 +37,8 @@
 	// Upkeep and Move are how long a VM is away for its upkeep and for a change of its pool.
 	Upkeep fulmarclock.Millis
 	Move   fulmarclock.Millis
+	// ReportsPerSecond bounds the renewals at busy executors, which each cost the owner processor time; zero for no bound.
+	ReportsPerSecond float64
 }
 
 // Logger takes one line for each decision; fields come in pairs.
@@ -77,6 +79,8 @@
 	barred     map[string]bool
 	demands    map[string]*demand
 	balancedAt fulmarclock.Millis
+	// holdGap is the least time between two renewals at one executor, as of the last tick.
+	holdGap fulmarclock.Millis
 	// journaled is the time up to which the journal holds all that has changed.
 	journaled fulmarclock.Millis
 
@@ -121,6 +125,7 @@
 // Tick does what is due by time alone.
 func (s *Scheduler) Tick(now fulmarclock.Millis, unix int64) {
 	s.now, s.unix = now, unix
+	s.holdGap = s.reportGap()
 	for _, e := range s.sorted() {
 		s.watchOver(e)
 	}
