Other members carry out the owner's orders where its processor does not

Cause: on the grown sites the owner still spent most of its 0.8 cores on requests to executors, one for each start and each renewal (some 1,500 a second in a burst), while the other 31 to 37 members stood at 1% of theirs. Weighed: owners for cells of executors. Moves, waves and bounds on availability cross cells, so the owners would have to agree on each; the decisions themselves are a tenth of the owner's work.

Change: each member attaches to the owner by a grpc stream; orders travel in messages, gathered for 6 ms, to as many members as have the cores that the owner lacks (125 executors a core, those with most cores first), each executor's always to the same. Members that are silent for 3 s are detached. A repeated copy of an order always goes directly, so a member out of reach costs one wait. Small fleets, where the owner's cores are enough, send everything directly as before.

Tests: internal/fulmarrelay (orders and reports travel whole, unknown answers, members that leave, choice of members), all with a real stream.

--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -31,6 +31,8 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarmetrics"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarowner"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarrelay"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarrelay/fulmarrelaypb"
 	fulmaradapter "github.com/fulmardrum/fulmardrum/platform"
 )
 
@@ -55,7 +57,9 @@
 	executors *fulmaradapter.Executors
 	fleet     *fulmaradapter.Fleet
 	advice    *fulmaradapter.Advice
+	hub       *fulmarrelay.Hub
 	candidate *fulmarowner.Candidate
+	relay     *fulmarrelay.Member
 	router    *fulmarfront.Router
 	grpc      *grpc.Server
 
@@ -114,13 +118,20 @@
 	n.executors = fulmaradapter.NewExecutors(n.metrics)
 	n.fleet = fulmaradapter.NewFleet(n.settings.Fleet, n.metrics)
 	n.advice = fulmaradapter.NewAdvice(n.settings.Advice, n.metrics)
+	n.hub = fulmarrelay.NewHub(fulmarrelay.HubOptions{
+		Clock: n.clock, Logger: n.logger, Counters: n.metrics, Direct: n.executors, Cores: n.settings.Cores,
+	})
 	n.candidate = fulmarowner.NewCandidate(fulmarowner.Options{
-		Store: n.store, Executors: n.executors, Fleet: n.fleet, Advice: n.advice, Reports: storeFormat{}, Entries: storeFormat{},
+		Store: n.store, Executors: n.executors, Relay: n.hub, Fleet: n.fleet, Advice: n.advice, Reports: storeFormat{}, Entries: storeFormat{},
 		Clock: n.clock, Awake: fulmarclock.NewBoot(), Logger: n.logger, Counters: n.metrics,
 		Self:   fulmarledger.Owner{Member: n.settings.Member, Peers: n.settings.Peers},
 		Bounds: n.settings.Scheduler(), Lease: n.settings.Bounds.Lease(),
 		ClaimDelay: n.settings.ClaimDelay(),
 	})
+	n.relay = fulmarrelay.NewMember(fulmarrelay.MemberOptions{
+		Name: n.settings.Member, Cores: n.settings.Cores, Self: n.settings.Peers, Ownership: n.candidate,
+		Executors: n.executors, Clock: n.clock, Logger: n.logger,
+	})
 	n.router = fulmarfront.NewRouter(n.candidate, n.clock, n.logger, n.metrics, n.settings.Peers)
 	front := fulmarfront.New(fulmarfront.Options{
 		Clock: n.clock, Logger: n.logger, Counters: n.metrics, Format: callersFormat{}, Owner: n.router,
@@ -131,6 +142,7 @@
 	n.reports = newServer(n.metrics.Handler())
 	n.grpc = grpc.NewServer()
 	fulmarfrontpb.RegisterOwnerServer(n.grpc, fulmarfront.NewAsker(n.candidate))
+	fulmarrelaypb.RegisterRelayServer(n.grpc, n.hub)
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -152,6 +164,7 @@
 	var group run.Group
 	n.addDuty(&group, n.followOperators().Run)
 	n.addDuty(&group, n.followOwner().Run)
+	n.addDuty(&group, n.relay.Run)
 	reign, abdicate := context.WithCancel(context.Background())
 	reigned, interrupted := make(chan struct{}), make(chan struct{})
 	group.Add(func() error {
--- a/internal/fulmarowner/candidate.go
+++ b/internal/fulmarowner/candidate.go
@@ -22,6 +22,12 @@
 	Hold(ctx context.Context, address, id string, token, acknowledged int64, deadline, wait fulmarclock.Millis) (fulmarjob.Answer, fulmarjob.Report, error)
 }
 
+// Relay carries out orders through other members, as many as the executors need.
+type Relay interface {
+	Executors
+	Expect(executors int)
+}
+
 // Fleet carries out orders on VMs.
 type Fleet interface {
 	VMs(ctx context.Context) ([]fulmarjob.VM, error)
@@ -55,11 +61,13 @@
 type Options struct {
 	Store     fulmarledger.Store
 	Executors Executors
-	Fleet     Fleet
-	Reports   Reports
-	Advice    Advice
-	Entries   Entries
-	Clock     fulmarclock.Clock
+	// Relay takes the first copy of each order; further ones go directly.
+	Relay   Relay
+	Fleet   Fleet
+	Reports Reports
+	Advice  Advice
+	Entries Entries
+	Clock   fulmarclock.Clock
 	// Awake is a clock that also counts the time in which the VM was suspended.
 	Awake    fulmarclock.Clock
 	Logger   *log.Logger
--- a/internal/fulmarowner/order.go
+++ b/internal/fulmarowner/order.go
@@ -37,8 +37,9 @@
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
 	began := r.options.Clock.Now()
+	var copies atomic.Int32
 	answer, err := fulmarhedge.Do(limited, r.options.Clock, r.usual.Plan(), func(own context.Context) (fulmarjob.Answer, error) {
-		return r.options.Executors.Start(own, o.Target.Address, o.Target.ID, o.Start)
+		return r.pathOf(copies.Add(1)).Start(own, o.Target.Address, o.Target.ID, o.Start)
 	}, isAnswered)
 	r.noteOrder("start", o.Target.ID, answer, err)
 	took := r.options.Clock.Now() - began
@@ -52,8 +53,9 @@
 func (r *reign) stop(ctx context.Context, o fulmarsched.StopOrder) {
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
+	var copies atomic.Int32
 	answer, err := fulmarhedge.Do(limited, r.options.Clock, r.usual.Plan(), func(own context.Context) (fulmarjob.Answer, error) {
-		return r.options.Executors.Stop(own, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token)
+		return r.pathOf(copies.Add(1)).Stop(own, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token)
 	}, isAnswered)
 	r.noteOrder("stop", o.Target.ID, answer, err)
 	r.send(stopAnswered{o, answer})
@@ -67,16 +69,26 @@
 	plan := fulmarhedge.Plan{After: o.Wait + r.usual.Plan().After, Most: holdHedges}
 	result, err := fulmarhedge.Do(limited, r.options.Clock, plan, func(own context.Context) (held, error) {
 		wait := o.Wait
-		if copies.Add(1) > 1 {
+		n := copies.Add(1)
+		if n > 1 {
 			wait = 0
 		}
-		answer, report, err := r.options.Executors.Hold(own, o.Target.Address, o.Target.ID, o.Token, o.Acknowledged, o.Deadline, wait)
+		answer, report, err := r.pathOf(n).Hold(own, o.Target.Address, o.Target.ID, o.Token, o.Acknowledged, o.Deadline, wait)
 		return held{answer, report}, err
 	}, func(h held, err error) bool { return isAnswered(h.answer, err) })
 	r.noteOrder("hold", o.Target.ID, result.answer, err)
 	r.send(holdAnswered{order: o, sent: sent, answer: result.answer, report: result.report})
 }
 
+// pathOf returns how the n-th copy of an order reaches its executor: the first one
+// through other members, further ones directly, as a member may be out of reach.
+func (r *reign) pathOf(n int32) Executors {
+	if n == 1 {
+		return r.options.Relay
+	}
+	return r.options.Executors
+}
+
 // held is an executor's answer to a renewal.
 type held struct {
 	answer fulmarjob.Answer
@@ -89,7 +101,7 @@
 func (r *reign) pace(ctx context.Context, o fulmarsched.PaceOrder) {
 	limited, cancel := context.WithTimeout(ctx, orderLimit.Duration())
 	defer cancel()
-	answer, err := r.options.Executors.Pace(limited, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token, o.Percent)
+	answer, err := r.options.Relay.Pace(limited, o.Target.Address, o.Target.ID, o.Task, o.Run, o.Token, o.Percent)
 	r.noteOrder("pace", o.Target.ID, answer, err)
 }
 
--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -263,6 +263,7 @@
 	if now >= r.tickedAt+tick {
 		r.tickedAt = now
 		r.scheduler.Tick(now, r.options.Clock.Unix())
+		r.options.Relay.Expect(r.scheduler.Executors())
 	}
 	if !r.appending && now >= r.appendedAt+commitGap {
 		r.beginAppend(ctx, now)
--- /dev/null
+++ b/internal/fulmarrelay/encode.go
@@ -0,0 +1,93 @@
+package fulmarrelay
+
+import (
+	"time"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarrelay/fulmarrelaypb"
+)
+
+// RemoteError is why a member got no answer from an executor.
+type RemoteError struct{ Text string }
+
+// Error returns the member's words.
+func (e *RemoteError) Error() string { return e.Text }
+
+func untilMillis(deadline time.Time) int64 { return time.Until(deadline).Milliseconds() }
+
+func encodeTask(t fulmarjob.TaskID) *fulmarrelaypb.Task {
+	return &fulmarrelaypb.Task{Job: t.Job, Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
+}
+
+func decodeTask(t *fulmarrelaypb.Task) fulmarjob.TaskID {
+	return fulmarjob.TaskID{Job: t.GetJob(), Occurrence: int(t.GetOccurrence()), Step: int(t.GetStep()), Index: int(t.GetIndex())}
+}
+
+func encodeStart(s fulmarjob.Start) *fulmarrelaypb.Order_Start {
+	return &fulmarrelaypb.Order_Start{Start: &fulmarrelaypb.Start{
+		Task: encodeTask(s.Task), Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+		DeadlineMs: int64(s.Deadline), Token: s.Token,
+	}}
+}
+
+func decodeStart(s *fulmarrelaypb.Start) fulmarjob.Start {
+	return fulmarjob.Start{
+		Task: decodeTask(s.GetTask()), Run: s.GetRun(), Payload: s.GetPayload(), Checkpoint: s.GetCheckpoint(),
+		Ticket: s.GetTicket(), Deadline: fulmarclock.Millis(s.GetDeadlineMs()), Token: s.GetToken(),
+	}
+}
+
+// encodeAnswer returns what an executor said to an order.
+func encodeAnswer(number uint64, answer fulmarjob.Answer, err error) *fulmarrelaypb.Answer {
+	a := &fulmarrelaypb.Answer{Number: number, Answer: int32(answer)}
+	if err != nil {
+		a.Error = err.Error()
+	}
+	return a
+}
+
+// decodeAnswer types what came back for an order; err is why nothing did.
+func decodeAnswer(a *fulmarrelaypb.Answer, err error) (fulmarjob.Answer, error) {
+	if err != nil {
+		return fulmarjob.AnswerUnknown, err
+	}
+	answer := fulmarjob.Answer(a.GetAnswer())
+	if answer < fulmarjob.AnswerDone || answer > fulmarjob.AnswerInvalid {
+		answer = fulmarjob.AnswerUnknown
+	}
+	if a.GetError() != "" {
+		return answer, &RemoteError{Text: a.GetError()}
+	}
+	return answer, nil
+}
+
+func encodeReport(r fulmarjob.Report) *fulmarrelaypb.Report {
+	report := &fulmarrelaypb.Report{Born: r.Born, ClockMs: int64(r.Clock)}
+	for _, t := range r.Running {
+		report.Running = append(report.Running, &fulmarrelaypb.Running{
+			Task: encodeTask(t.Task), Run: t.Run, Saved: t.Saved, Percent: int64(t.Percent), Recent: t.Recent,
+		})
+	}
+	for _, t := range r.Finished {
+		report.Finished = append(report.Finished, &fulmarrelaypb.Finished{
+			Number: t.Number, Task: encodeTask(t.Task), Run: t.Run, How: string(t.How), Saved: t.Saved,
+		})
+	}
+	return report
+}
+
+func decodeReport(r *fulmarrelaypb.Report) fulmarjob.Report {
+	report := fulmarjob.Report{Born: r.GetBorn(), Clock: fulmarclock.Millis(r.GetClockMs())}
+	for _, t := range r.GetRunning() {
+		report.Running = append(report.Running, fulmarjob.RunningTask{
+			Task: decodeTask(t.GetTask()), Run: t.GetRun(), Saved: t.GetSaved(), Percent: int(t.GetPercent()), Recent: t.GetRecent(),
+		})
+	}
+	for _, t := range r.GetFinished() {
+		report.Finished = append(report.Finished, fulmarjob.FinishedTask{
+			Number: t.GetNumber(), Task: decodeTask(t.GetTask()), Run: t.GetRun(), How: fulmarjob.Ending(t.GetHow()), Saved: t.GetSaved(),
+		})
+	}
+	return report
+}
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -58,6 +58,9 @@
 	return e
 }
 
+// Executors returns how many executors the scheduler knows.
+func (s *Scheduler) Executors() int { return len(s.byID) }
+
 func compareID(e *executor, id string) int { return strings.Compare(e.info.ID, id) }
 
 // sorted returns all executors by ID, so that the same events lead to the same
