Fewer requests end in doubt: 504 only where a job may have been stored

Changes: (1) grpc's statistics tell whether a call's header has left; one that never left is "nothing done". (2) After 600 ms without an answer to an append, jobs are refused at once with the time to return, and those that wait for the next append are withdrawn; jobs that were part of a batch never are. (3) A question in doubt is asked again for 2.5 s, and the refusal of a later owner settles it, as the owners before can store nothing more. For that a question names the owner's token that it is meant for, so that a late copy is not taken by a later reign.

Tests: TestAQuestionThatNeverLeftCarriedNothing, TestAQuestionThatLeftMayHaveBeenCarriedOut, TestOnlyJobsWithoutABatchAreWithdrawn, TestJobsRefusedInAnOutageNeverRun, three rows of TestTheRouterAsksAgainAndKeepsDoubts.

--- a/internal/fulmarbench/jobs_test.go
+++ b/internal/fulmarbench/jobs_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +75,46 @@
 		})
 	}
 }
+
+// While the store is away jobs are refused instead of waiting for their timeout, and
+// none of those that were refused ever runs.
+func TestJobsRefusedInAnOutageNeverRun(t *testing.T) {
+	fleet, err := startJobFleet(1, 1, 4)
+	defer fleet.close()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, fleet.awaitOwner(context.Background()), quicktest.IsNil)
+	callers := &jobCallers{client: newClient()}
+	handIn := func(id string) int {
+		status, _ := callers.send(context.Background(), http.MethodPost, "http://"+fleet.targets()[0]+jobPrefix(0)+id, jobBody(1, 100))
+		return status
+	}
+	for handIn("00000000000000aa") != http.StatusOK {
+		time.Sleep(fleetPoll)
+	}
+	fleet.rig.SetStoreDown(true)
+	statuses := make(chan int, 1)
+	go func() { statuses <- handIn("00000000000000bb") }()
+	refused := map[string]bool{}
+	for n := 0; len(refused) < 3; n++ {
+		id := fmt.Sprintf("%016x", n+1)
+		if handIn(id) == http.StatusTooManyRequests {
+			refused[id] = true
+		}
+	}
+	fleet.rig.SetStoreDown(false)
+	<-statuses
+	for handIn("00000000000000cc") != http.StatusOK {
+		time.Sleep(fleetPoll)
+	}
+	for !fleet.hasRun("00000000000000cc") {
+		time.Sleep(fleetPoll)
+	}
+	for id := range refused {
+		quicktest.Check(t, fleet.hasRun(id), quicktest.IsFalse, quicktest.Commentf(id))
+	}
+}
+
+// hasRun tells whether a task of a job was ever started.
+func (f *jobFleet) hasRun(id string) bool {
+	return slices.ContainsFunc(f.rig.Runs(), func(r fulmarrig.Run) bool { return strings.HasPrefix(r.Task, id+".") })
+}
--- a/internal/fulmarfront/asker.go
+++ b/internal/fulmarfront/asker.go
@@ -23,7 +23,9 @@
 	askLimit = 1200 * fulmarclock.Millis(1)
 	// vacancyLimit bounds how long a request waits for the scheduler to have an owner.
 	vacancyLimit = 900 * fulmarclock.Millis(1)
-	askPause     = 40 * fulmarclock.Millis(1)
+	// doubtLimit bounds that wait for a request that may have been carried out: only an owner can tell.
+	doubtLimit = 2500 * fulmarclock.Millis(1)
+	askPause   = 40 * fulmarclock.Millis(1)
 )
 
 // Candidate is this member's part in the ownership.
@@ -56,27 +58,29 @@
 
 // Ask asks until the owner replies, the caller's time is over, or nobody has
 // owned the scheduler for a while. Unknown holds once an attempt may have been
-// carried out and no owner has confirmed it.
+// carried out and no owner has confirmed it. The refusal of a later owner settles
+// that: it has read all that the owners before it have stored, and they can store no more.
 func (r *Router) Ask(ctx context.Context, q fulmarowner.Question) fulmarowner.Reply {
 	began := r.clock.Now()
-	uncertain := false
+	limit := vacancyLimit
+	uncertain, doubted := false, int64(0)
 	for {
 		reply := r.attempt(ctx, q)
 		switch reply.Outcome {
 		case fulmarowner.Done, fulmarowner.UnknownJob:
 			return reply
 		case fulmarowner.Refused:
-			if uncertain {
+			if uncertain && reply.Token <= doubted {
 				reply.Outcome = fulmarowner.Unknown
 			}
 			return reply
 		case fulmarowner.Unknown:
-			uncertain = true
+			uncertain, doubted, limit = true, max(doubted, reply.Token), doubtLimit
 			r.counters.Count("retries", "owner-no-answer")
 		case fulmarowner.NotOwner:
 			r.counters.Count("retries", "no-owner")
 		}
-		if ctx.Err() != nil || r.clock.Now() > began+vacancyLimit {
+		if ctx.Err() != nil || r.clock.Now() > began+limit {
 			return given(uncertain)
 		}
 		select {
@@ -106,6 +110,8 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, askLimit.Duration())
 	defer cancel()
+	limited, sent := withSentMark(limited)
+	q.OwnerToken = owner.Revision
 	request, err := encodeQuestion(q)
 	if err != nil {
 		r.logger.Error("a question can't be encoded", "job", q.Job, "error", err)
@@ -113,18 +119,21 @@
 	}
 	answer, err := fulmarfrontpb.NewOwnerClient(connection).Ask(limited, request)
 	if err != nil {
-		return r.failed(owner, connection, q, err)
+		r.logger.Warn("the owner did not reply", "owner", owner.Member, "job", q.Job, "sent", sent.isSet(), "error", err)
+		if status.Code(err) == codes.DeadlineExceeded {
+			r.drop(connection)
+		}
+		return unanswered(owner, sent)
 	}
 	return decodeReply(answer)
 }
 
-// failed types a failed attempt: a connection that could not be made carried nothing.
-func (r *Router) failed(owner fulmarledger.Owner, connection *grpc.ClientConn, q fulmarowner.Question, err error) fulmarowner.Reply {
-	r.logger.Warn("the owner did not reply", "owner", owner.Member, "job", q.Job, "error", err)
-	if status.Code(err) == codes.DeadlineExceeded {
-		r.drop(connection)
+// unanswered types an attempt that failed: a question that never left carried nothing.
+func unanswered(owner fulmarledger.Owner, sent *sentMark) fulmarowner.Reply {
+	if !sent.isSet() {
+		return fulmarowner.Reply{Outcome: fulmarowner.NotOwner, Reason: "owner-out-of-reach"}
 	}
-	return fulmarowner.Reply{Outcome: fulmarowner.Unknown}
+	return fulmarowner.Reply{Outcome: fulmarowner.Unknown, Token: owner.Revision}
 }
 
 func (r *Router) connect(address string) (*grpc.ClientConn, error) {
@@ -136,7 +145,7 @@
 	if r.connection != nil {
 		r.closeConnection()
 	}
-	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithStatsHandler(sentHandler{}))
 	if err != nil {
 		return nil, err
 	}
@@ -173,7 +182,7 @@
 func (a *Asker) Ask(ctx context.Context, request *fulmarfrontpb.Request) (*fulmarfrontpb.Reply, error) {
 	q := fulmarowner.Question{
 		Kind: fulmarowner.Kind(request.GetKind()), Job: request.GetJob(), Queue: request.GetQueue(),
-		Version: request.GetConfigurationVersion(),
+		Version: request.GetConfigurationVersion(), OwnerToken: request.GetOwnerToken(),
 	}
 	if q.Kind == fulmarowner.Submit {
 		if err := json.Unmarshal(request.GetSpecification(), &q.Specification); err != nil {
@@ -188,7 +197,7 @@
 }
 
 func encodeQuestion(q fulmarowner.Question) (*fulmarfrontpb.Request, error) {
-	request := &fulmarfrontpb.Request{Kind: fulmarfrontpb.Kind(q.Kind), Job: q.Job, Queue: q.Queue, ConfigurationVersion: q.Version}
+	request := &fulmarfrontpb.Request{Kind: fulmarfrontpb.Kind(q.Kind), Job: q.Job, Queue: q.Queue, ConfigurationVersion: q.Version, OwnerToken: q.OwnerToken}
 	if q.Kind != fulmarowner.Submit {
 		return request, nil
 	}
--- a/internal/fulmarfront/front_test.go
+++ b/internal/fulmarfront/front_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,8 +12,10 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/frankban/quicktest"
+	"google.golang.org/grpc"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarfront/fulmarfrontpb"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarowner"
@@ -165,6 +168,15 @@
 		{"a doubt stays", of(fulmarowner.Unknown, fulmarowner.NotOwner), fulmarowner.Unknown},
 		{"a refusal after a doubt is no promise", of(fulmarowner.Unknown, fulmarowner.Refused), fulmarowner.Unknown},
 		{"a refusal", of(fulmarowner.Refused), fulmarowner.Refused},
+		{"a refusal by a later owner settles a doubt", []fulmarowner.Reply{
+			{Outcome: fulmarowner.Unknown, Token: 5}, {Outcome: fulmarowner.NotOwner}, {Outcome: fulmarowner.Refused, Token: 9},
+		}, fulmarowner.Refused},
+		{"a refusal by the same owner does not", []fulmarowner.Reply{
+			{Outcome: fulmarowner.Unknown, Token: 9}, {Outcome: fulmarowner.Refused, Token: 9},
+		}, fulmarowner.Unknown},
+		{"nor one by an owner before the last doubt", []fulmarowner.Reply{
+			{Outcome: fulmarowner.Unknown, Token: 5}, {Outcome: fulmarowner.Unknown, Token: 9}, {Outcome: fulmarowner.Refused, Token: 7},
+		}, fulmarowner.Unknown},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			clock := passingClock{fulmarclock.NewManual(0)}
@@ -196,3 +208,52 @@
 		quicktest.Assert(t, deadline, quicktest.Equals, row.want, quicktest.Commentf("%q %d", row.header, row.timeout))
 	}
 }
+
+// remoteOwner is owned by a member at an address.
+type remoteOwner struct{ address string }
+
+func (remoteOwner) Ask(context.Context, fulmarowner.Question) fulmarowner.Reply {
+	return fulmarowner.Reply{Outcome: fulmarowner.NotOwner}
+}
+func (r remoteOwner) Owner() (fulmarledger.Owner, bool) {
+	return fulmarledger.Owner{Peers: r.address, Revision: 5}, true
+}
+func (remoteOwner) OwnerChanged() <-chan struct{} { return nil }
+
+// Nothing of a question reaches an owner that can't be connected to, so the caller may be told that it did not run.
+func TestAQuestionThatNeverLeftCarriedNothing(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	address := socket.Addr().String()
+	quicktest.Assert(t, socket.Close(), quicktest.IsNil)
+	router := NewRouter(remoteOwner{address}, passingClock{fulmarclock.NewManual(0)}, log.New(io.Discard), noCounters{}, "self")
+	defer router.Close()
+	reply := router.Ask(context.Background(), fulmarowner.Question{Kind: fulmarowner.Submit, Job: testJob})
+	quicktest.Assert(t, reply.Outcome, quicktest.Equals, fulmarowner.NotOwner)
+}
+
+func TestAQuestionThatLeftMayHaveBeenCarriedOut(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	server := grpc.NewServer()
+	fulmarfrontpb.RegisterOwnerServer(server, NewAsker(failingCandidate{server}))
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(socket) }()
+	router := NewRouter(remoteOwner{socket.Addr().String()}, passingClock{fulmarclock.NewManual(0)}, log.New(io.Discard), noCounters{}, "self")
+	defer router.Close()
+	reply := router.Ask(context.Background(), fulmarowner.Question{Kind: fulmarowner.Cancel, Job: testJob})
+	quicktest.Assert(t, reply.Outcome, quicktest.Equals, fulmarowner.Unknown)
+	server.Stop()
+	<-ended
+}
+
+// failingCandidate ends its server when it is asked.
+type failingCandidate struct{ server *grpc.Server }
+
+func (f failingCandidate) Ask(ctx context.Context, _ fulmarowner.Question) fulmarowner.Reply {
+	go f.server.Stop()
+	<-ctx.Done()
+	return fulmarowner.Reply{}
+}
+func (failingCandidate) Owner() (fulmarledger.Owner, bool) { return fulmarledger.Owner{}, false }
+func (failingCandidate) OwnerChanged() <-chan struct{}     { return nil }
--- a/internal/fulmarledger/claim.go
+++ b/internal/fulmarledger/claim.go
@@ -23,6 +23,8 @@
 	Peers string `json:"peers"`
 	// Nonce tells one claim from another of the same member.
 	Nonce string `json:"nonce"`
+	// Revision is that of the key, where it was read from the store; it is the owner's token.
+	Revision int64 `json:"-"`
 }
 
 // DecodeOwner reads the value of the ownership key.
--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -307,6 +307,7 @@
 		n.logger.Error("the ownership key is ignored", "error", err)
 		return
 	}
+	owner.Revision = i.Revision
 	n.logger.Info("the scheduler has an owner", "owner", owner.Member, "revision", i.Revision)
 	n.candidate.SetOwner(owner, true)
 }
--- a/internal/fulmarowner/candidate.go
+++ b/internal/fulmarowner/candidate.go
@@ -201,7 +201,7 @@
 // Ask hands a question to the scheduler, if this member owns it.
 func (c *Candidate) Ask(ctx context.Context, q Question) Reply {
 	r := c.reign.Load()
-	if r == nil {
+	if r == nil || q.OwnerToken != 0 && q.OwnerToken != r.claim.Token() {
 		return Reply{Outcome: NotOwner}
 	}
 	return r.ask(ctx, q)
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -14,6 +14,12 @@
 	ringEvents = 4096
 	// commitGap is the least time between the starts of two appends to the journal.
 	commitGap = 15 * fulmarclock.Millis(1)
+	// stallLimit is how long an append may go without an answer before jobs are refused instead of waiting for the next.
+	stallLimit = 600 * fulmarclock.Millis(1)
+	// longestStallPause bounds when such callers are told to return.
+	longestStallPause = 3 * fulmarclock.Second
+	// reasonStalled is the reason of these refusals.
+	reasonStalled = "store-stalled"
 	// tick is how often the scheduler looks at what is due by time alone.
 	tick = 50 * fulmarclock.Millis(1)
 	// orderLimit bounds the wait for an executor's answer to an order.
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -104,6 +104,8 @@
 type waiter struct {
 	reply   Reply
 	replies chan Reply
+	// submitted is the ID of the job that was handed in, empty for other questions.
+	submitted string
 }
 
 type asked struct {
@@ -114,7 +116,11 @@
 func (e asked) apply(r *reign, now fulmarclock.Millis) {
 	reply, stored := r.answer(now, e.question)
 	if stored {
-		r.waiting = append(r.waiting, waiter{reply: reply, replies: e.replies})
+		w := waiter{reply: reply, replies: e.replies}
+		if e.question.Kind == Submit {
+			w.submitted = e.question.Job
+		}
+		r.waiting = append(r.waiting, w)
 		return
 	}
 	e.replies <- reply
--- a/internal/fulmarowner/question.go
+++ b/internal/fulmarowner/question.go
@@ -24,6 +24,9 @@
 	Specification fulmarjob.Specification
 	// Version is the configuration by which the asking member chose the queue.
 	Version int64
+	// OwnerToken is the token of the owner that is meant, so that a question which
+	// arrives late is not taken by a later owner; zero means any owner.
+	OwnerToken int64
 }
 
 // Outcome is what became of a question.
--- a/internal/fulmarowner/reign.go
+++ b/internal/fulmarowner/reign.go
@@ -193,7 +193,7 @@
 		reply.Token = r.claim.Token()
 		return reply
 	case <-ctx.Done():
-		return Reply{Outcome: Unknown, Reason: "deadline"}
+		return Reply{Outcome: Unknown, Reason: "deadline", Token: r.claim.Token()}
 	}
 }
 
@@ -268,6 +268,9 @@
 	if !r.appending && now >= r.appendedAt+commitGap {
 		r.beginAppend(ctx, now)
 	}
+	if _, stalled := r.stall(now); stalled {
+		r.withdrawWaiting(now)
+	}
 	if r.mayOrder() {
 		for _, o := range r.scheduler.TakeOrders() {
 			r.carryOut(ctx, o)
@@ -346,11 +349,40 @@
 	if !found {
 		return Reply{Outcome: Refused, Reason: "queue-removed", RetryAfter: fulmarclock.Second}, false
 	}
+	if wait, stalled := r.stall(now); stalled && !r.scheduler.Knows(q.Job) {
+		r.options.Logger.Info("job refused", "job", q.Job, "queue", q.Queue, "reason", reasonStalled, "stalled_ms", now-r.appendedAt)
+		r.options.Counters.Count("refusals", reasonStalled)
+		return Reply{Outcome: Refused, Reason: reasonStalled, RetryAfter: wait}, false
+	}
 	return replyOf(r.scheduler.Submit(now, unix, fulmarsched.Submission{
 		ID: q.Job, Queue: queue, Specification: q.Specification,
 	}))
 }
 
+// stall tells whether the journal has not answered for long, and when callers may return.
+func (r *reign) stall(now fulmarclock.Millis) (fulmarclock.Millis, bool) {
+	if !r.appending || now < r.appendedAt+stallLimit {
+		return 0, false
+	}
+	return min(max(now-r.appendedAt, fulmarclock.Second), longestStallPause), true
+}
+
+// withdrawWaiting refuses the jobs that wait for the next append while the one
+// before it gets no answer. None of them was part of any append, so none can run.
+func (r *reign) withdrawWaiting(now fulmarclock.Millis) {
+	wait, _ := r.stall(now)
+	kept := r.waiting[:0]
+	for _, w := range r.waiting {
+		if w.submitted == "" || !r.scheduler.Withdraw(now, w.submitted) {
+			kept = append(kept, w)
+			continue
+		}
+		r.options.Counters.Count("refusals", reasonStalled)
+		w.replies <- Reply{Outcome: Refused, Reason: reasonStalled, RetryAfter: wait}
+	}
+	r.waiting = kept
+}
+
 func replyOf(d fulmarsched.Decision) (Reply, bool) {
 	switch d.Verdict {
 	case fulmarsched.VerdictStored:
--- a/internal/fulmarrelay/relay_test.go
+++ b/internal/fulmarrelay/relay_test.go
@@ -175,18 +175,18 @@
 	cause := &RemoteError{Text: "no answer"}
 	for _, row := range []struct {
 		name   string
-		member recorder
+		member *recorder
 		answer fulmarjob.Answer
 		fails  bool
 	}{
-		{"done", recorder{}, fulmarjob.AnswerDone, false},
-		{"fenced", recorder{answer: fulmarjob.AnswerFenced}, fulmarjob.AnswerFenced, false},
-		{"no answer", recorder{answer: fulmarjob.AnswerUnknown, err: cause}, fulmarjob.AnswerUnknown, true},
-		{"an answer beyond the known ones", recorder{answer: 99}, fulmarjob.AnswerUnknown, false},
+		{"done", &recorder{}, fulmarjob.AnswerDone, false},
+		{"fenced", &recorder{answer: fulmarjob.AnswerFenced}, fulmarjob.AnswerFenced, false},
+		{"no answer", &recorder{answer: fulmarjob.AnswerUnknown, err: cause}, fulmarjob.AnswerUnknown, true},
+		{"an answer beyond the known ones", &recorder{answer: 99}, fulmarjob.AnswerUnknown, false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			s := newStage(t, &recorder{})
-			s.attach("m", 1, &row.member)
+			s.attach("m", 1, row.member)
 			s.hub.Expect(1000)
 			answer, err := s.start()
 			quicktest.Assert(t, answer, quicktest.Equals, row.answer)
--- a/internal/fulmarsched/caller.go
+++ b/internal/fulmarsched/caller.go
@@ -1,6 +1,8 @@
 package fulmarsched
 
 import (
+	"slices"
+
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
@@ -60,6 +62,29 @@
 	j.deadline = j.received + j.queue.Aim + fulmarclock.Millis(j.queue.Slack*float64(s.chain(j, nil)))
 }
 
+// Knows tells whether there is a job of this ID.
+func (s *Scheduler) Knows(id string) bool { return s.jobs[id] != nil }
+
+// Withdraw forgets a job that is part of no batch yet, as if it had been refused. It
+// returns false for a job that the journal may hold.
+func (s *Scheduler) Withdraw(now fulmarclock.Millis, id string) bool {
+	s.now = now
+	j := s.jobs[id]
+	if j == nil {
+		return true
+	}
+	if j.stored || j.state.IsFinal() {
+		return false
+	}
+	isIt := func(o *job) bool { return o == j }
+	delete(s.jobs, id)
+	s.order = slices.DeleteFunc(s.order, isIt)
+	s.dirty = slices.DeleteFunc(s.dirty, isIt)
+	s.forgetAdvice(j)
+	s.log.Decide("job withdrawn", "job", id, "queue", j.queue.Name, "waited_ms", now-j.received)
+	return true
+}
+
 // Cancel ends a job at its caller's wish.
 func (s *Scheduler) Cancel(now fulmarclock.Millis, unix int64, id string) Decision {
 	s.now, s.unix = now, unix
--- a/internal/fulmarsched/fault_test.go
+++ b/internal/fulmarsched/fault_test.go
@@ -330,3 +330,26 @@
 		w.scheduler.LoseExecutor(w.now, e.info.ID)
 	}
 }
+
+// A job that waits for its first batch can be refused as if it had never come; one
+// that was part of a batch can't, as the journal may hold it.
+func TestOnlyJobsWithoutABatchAreWithdrawn(t *testing.T) {
+	w := newWorld(t, 2)
+	w.play(1200)
+	w.submit(jobID(1), step(2))
+	w.play(w.now + worldStep)
+	w.storeDown = true
+	w.submit(jobID(2), step(2))
+	quicktest.Assert(t, w.scheduler.Withdraw(w.now, jobID(1)), quicktest.IsFalse)
+	quicktest.Assert(t, w.scheduler.Withdraw(w.now, jobID(2)), quicktest.IsTrue)
+	quicktest.Assert(t, w.scheduler.Knows(jobID(2)), quicktest.IsFalse)
+	w.storeDown = false
+	w.play(w.now + 3000)
+	quicktest.Assert(t, w.state(jobID(1)), quicktest.Equals, fulmarjob.Completed)
+	for _, r := range w.runs {
+		quicktest.Assert(t, r.task.Job, quicktest.Equals, jobID(1))
+	}
+	quicktest.Assert(t, w.submit(jobID(2), step(2)).Verdict, quicktest.Equals, VerdictStored)
+	w.play(w.now + 3000)
+	quicktest.Assert(t, w.state(jobID(2)), quicktest.Equals, fulmarjob.Completed)
+}
