--- a/internal/fulmarstandin/fulmarrig/fleet.go
+++ b/internal/fulmarstandin/fulmarrig/fleet.go
@@ -96,6 +96,11 @@
 	if err != nil {
 		return err
 	}
+	if front := f.rig.options.Front; front != nil {
+		if address, err = front(e.id, address); err != nil {
+			return err
+		}
+	}
 	v.executor = e
 	entry, err := json.Marshal(map[string]any{
 		"service": v.pool.Service, "address": address, "zone": "dc-1", "version": "1", "slots": 8, "state": "ready",
--- a/internal/fulmarstandin/fulmarrig/rig.go
+++ b/internal/fulmarstandin/fulmarrig/rig.go
@@ -19,6 +19,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -29,6 +30,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	fulmaradapter "github.com/fulmardrum/fulmardrum/platform"
 )
 
@@ -56,6 +58,8 @@
 	// MaxHold is the longest lease of what runs, StopTime how long a stop takes.
 	MaxHold  fulmarclock.Millis
 	StopTime fulmarclock.Millis
+	// Front returns the address at which an executor is listed, which is to reach its own; nil lists its own.
+	Front func(executor, address string) (string, error)
 	// Behave returns how long a run takes and whether it then fails; nil runs each task for its declared time.
 	Behave func(payload, task string, run int64) (fulmarclock.Millis, bool)
 }
@@ -173,6 +177,32 @@
 	// Ended is zero while the run lasts.
 	Ended fulmarclock.Millis
 	How   string
+	// Noted tells that the end was acknowledged to its executor.
+	Noted bool
+}
+
+// Check returns a line for each broken promise among runs in the order of their
+// starts: two runs of a task at a time, a run after one whose end as done was
+// acknowledged, run numbers or tokens that fall.
+func Check(runs []Run) []string {
+	var broken []string
+	byTask := map[string][]Run{}
+	for _, r := range runs {
+		for _, earlier := range byTask[r.Task] {
+			switch {
+			case earlier.Ended == 0 || earlier.Ended > r.Began:
+				broken = append(broken, fmt.Sprintf("two runs at a time: %+v and %+v", earlier, r))
+			case earlier.How == string(fulmarjob.EndedDone) && earlier.Noted:
+				broken = append(broken, fmt.Sprintf("a run after an acknowledged end: %+v and %+v", earlier, r))
+			case r.Number <= earlier.Number:
+				broken = append(broken, fmt.Sprintf("run numbers fall: %+v and %+v", earlier, r))
+			case r.Executor == earlier.Executor && r.Token < earlier.Token:
+				broken = append(broken, fmt.Sprintf("tokens fall: %+v and %+v", earlier, r))
+			}
+		}
+		byTask[r.Task] = append(byTask[r.Task], r)
+	}
+	return broken
 }
 
 func (r *Rig) begin(run *Run) {
@@ -181,6 +211,12 @@
 	r.mu.Unlock()
 }
 
+func (r *Rig) note(run *Run) {
+	r.mu.Lock()
+	run.Noted = true
+	r.mu.Unlock()
+}
+
 func (r *Rig) finish(run *Run, at fulmarclock.Millis, how string) {
 	r.mu.Lock()
 	run.Ended, run.How = at, how
