A randomized soak of members as processes

internal/fulmarsoak plays seeds: four real members, the platform's stand-in, callers, and faults from outside that overlap: SIGKILL, SIGTERM, SIGSTOP, SIGHUP; a loopback proxy that delays, silences, cuts one way and resets the connections to the store, the API of VMs and the executors; outages of the store, crashes of VMs, waves and changes of the configuration. It checks what callers and executors see, with the stand-in's check of runs, and prints how often each fault struck.

Not struck: the connections between members, other than by pausing a member, as a member lists the address on which it listens.

--- a/internal/fulmarrelay/encode.go
+++ b/internal/fulmarrelay/encode.go
@@ -1,8 +1,6 @@
 package fulmarrelay
 
 import (
-	"time"
-
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarrelay/fulmarrelaypb"
@@ -14,8 +12,6 @@
 // Error returns the member's words.
 func (e *RemoteError) Error() string { return e.Text }
 
-func untilMillis(deadline time.Time) int64 { return time.Until(deadline).Milliseconds() }
-
 func encodeTask(t fulmarjob.TaskID) *fulmarrelaypb.Task {
 	return &fulmarrelaypb.Task{Job: t.Job, Occurrence: int64(t.Occurrence), Step: int64(t.Step), Index: int64(t.Index)}
 }
--- a/internal/fulmarrelay/link.go
+++ b/internal/fulmarrelay/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
@@ -196,5 +197,5 @@
 	if !found {
 		return 0
 	}
-	return max(untilMillis(deadline), 1)
+	return max(time.Until(deadline).Milliseconds(), 1)
 }
--- /dev/null
+++ b/internal/fulmarsoak/soak_test.go
@@ -0,0 +1,295 @@
+package fulmarsoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarstandin/fulmarrig"
+)
+
+var (
+	seeds  = flag.Int("soak.seeds", 2, "how many seeds are played")
+	first  = flag.Uint64("soak.first", 1, "the first seed")
+	length = flag.Duration("soak.length", 6*time.Second, "how long faults go on")
+	logs   = flag.String("soak.logs", "", "a directory that keeps the members' logs")
+)
+
+const (
+	members    = 4
+	poolVMs    = 6
+	vmCores    = 8000
+	vmMemory   = 16384
+	callers    = 6
+	callPause  = 60 * time.Millisecond
+	callLimit  = 4 * time.Second
+	tries      = 4
+	endLimit   = 90 * time.Second
+	endPoll    = 100 * time.Millisecond
+	slotTasks  = 3
+	longestRun = 900
+)
+
+// soak is one seed's play.
+type soak struct {
+	t         *testing.T
+	random    *rand.Rand
+	binary    string
+	directory string
+	clock     fulmarclock.Clock
+	rig       *fulmarrig.Rig
+	members   []*member
+	client    *http.Client
+
+	struckBytes atomic.Int64
+	mu          sync.Mutex
+	executors   []*proxy
+	strikes     map[string]int
+	// accepted and refused are the IDs of jobs by what their callers were told; doubtful are the rest.
+	accepted []string
+	refused  []string
+	doubtful int
+	version  int
+}
+
+// TestSoak plays seeds one after another.
+func TestSoak(t *testing.T) {
+	directory := t.TempDir()
+	binary := filepath.Join(directory, "fulmarnoded")
+	build := exec.Command("go", "build", "-o", binary, "github.com/fulmardrum/fulmardrum/cmd/fulmarnoded")
+	output, err := build.CombinedOutput()
+	quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", output))
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newSoak(t, seed, binary)
+			defer s.close()
+			s.play()
+		})
+	}
+}
+
+func newSoak(t *testing.T, seed uint64, binary string) *soak {
+	s := &soak{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, directory: t.TempDir(), clock: fulmarclock.NewSystem(),
+		client: &http.Client{Timeout: callLimit}, strikes: map[string]int{}, version: 1,
+	}
+	if *logs != "" {
+		s.directory = filepath.Join(*logs, fmt.Sprintf("seed-%d", seed))
+		quicktest.Assert(t, os.MkdirAll(s.directory, 0o700), quicktest.IsNil)
+	}
+	var err error
+	s.rig, err = fulmarrig.Start(fulmarrig.Options{
+		Clock: s.clock, MoveTime: 800, UpkeepTime: 800, MaxHold: 10000, StopTime: 300, Front: s.front, Behave: behave,
+		Pools: []fulmarrig.Pool{
+			{Service: "work", VMs: poolVMs, MilliCPU: vmCores, MemoryMB: vmMemory, PerRack: 2}, {Service: "spare", VMs: 2, Standby: true},
+		},
+	})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	s.configure()
+	for i := range members {
+		s.members = append(s.members, s.startMember(i))
+	}
+	return s
+}
+
+// front puts a proxy before an executor.
+func (s *soak) front(_, address string) (string, error) {
+	p, err := newProxy(address, &s.struckBytes)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executors = append(s.executors, p)
+	return p.address(), nil
+}
+
+// behave lets runs take a time by their task's name; one in sixteen fails at its first run.
+func behave(_, task string, run int64) (fulmarclock.Millis, bool) {
+	sum := 0
+	for _, c := range []byte(task) {
+		sum = sum*31 + int(c)
+	}
+	sum &= 1<<20 - 1
+	return fulmarclock.Millis(100 + sum%longestRun), run == 1 && sum%16 == 0
+}
+
+func (s *soak) configure() {
+	quicktest.Assert(s.t, s.rig.Configure(map[string]any{
+		"version": s.version,
+		"routes": []map[string]any{{
+			"name": "queue", "host": "127.0.0.1", "prefix": "/queue/", "service": "work", "max_attempts": 9,
+			"slack_factor": 2, "target_latency_ms": 3000, "timeout_ms": 3000,
+		}},
+		"services": []map[string]any{{"name": "work", "admission_control": true}, {"name": "spare", "admission_control": true, "standby": true}},
+	}), quicktest.IsNil)
+}
+
+func (s *soak) close() {
+	for _, m := range s.members {
+		m.close()
+	}
+	s.rig.Close()
+	for _, p := range s.executors {
+		p.close()
+	}
+}
+
+// play hands jobs in while faults strike, heals all, and checks what was promised.
+func (s *soak) play() {
+	s.awaitService()
+	ctx, cancel := context.WithTimeout(context.Background(), *length)
+	defer cancel()
+	var calling sync.WaitGroup
+	for i := range callers {
+		random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(i)))
+		calling.Go(func() { s.call(ctx, i, random) })
+	}
+	s.strike(ctx)
+	calling.Wait()
+	s.heal()
+	s.checkEnds()
+	s.checkRuns()
+	s.t.Logf("accepted %d, refused %d, in doubt %d; runs %d; faults %v; %d connections and blocks of bytes struck",
+		len(s.accepted), len(s.refused), s.doubtful, len(s.rig.Runs()), s.strikes, s.struckBytes.Load())
+}
+
+// awaitService waits until a job is taken.
+func (s *soak) awaitService() {
+	for at := time.Now(); time.Since(at) < endLimit; time.Sleep(endPoll) {
+		if status := s.send(http.MethodPost, 0, fmt.Sprintf("%016x", 1<<40)); status == http.StatusOK {
+			return
+		}
+	}
+	s.t.Fatal("no member took a job in time")
+}
+
+// call hands one job in after another, each again while it is refused or in doubt.
+func (s *soak) call(ctx context.Context, caller int, random *rand.Rand) {
+	for n := 1; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("%08x%08x", caller+1, n)
+		s.handIn(id, random)
+		time.Sleep(callPause)
+	}
+}
+
+func (s *soak) handIn(id string, random *rand.Rand) {
+	surely := true
+	for range tries {
+		switch s.send(http.MethodPost, random.IntN(members), id) {
+		case http.StatusOK:
+			s.tell(&s.accepted, id)
+			return
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			time.Sleep(callPause)
+		default:
+			surely = false
+		}
+	}
+	if surely {
+		s.tell(&s.refused, id)
+		return
+	}
+	s.mu.Lock()
+	s.doubtful++
+	s.mu.Unlock()
+}
+
+func (s *soak) tell(list *[]string, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*list = append(*list, id)
+}
+
+// send returns the status of a request to a member, zero without an answer.
+func (s *soak) send(method string, place int, id string) int {
+	body, _ := json.Marshal(map[string]any{"specification": "x", "steps": []map[string]any{
+		{"count": slotTasks, "cpu": 1000, "task_memory_mb": 200, "estimated_duration_ms": longestRun / 2},
+		{"count": 1, "cpu": 1000, "task_memory_mb": 200, "estimated_duration_ms": longestRun / 2, "after": []int{0}},
+	}})
+	request, err := http.NewRequest(method, "http://"+s.members[place].callers+"/queue/"+id, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	text, _ := io.ReadAll(response.Body)
+	if method == http.MethodGet && response.StatusCode == http.StatusOK && !strings.Contains(string(text), "completed") {
+		return http.StatusAccepted
+	}
+	return response.StatusCode
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	s.rig.SetStoreDown(false)
+	for _, m := range s.members {
+		m.heal()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.executors {
+		p.set(pass)
+	}
+}
+
+// checkEnds waits until every accepted job is shown as completed.
+func (s *soak) checkEnds() {
+	open := slices.Clone(s.accepted)
+	for at := time.Now(); len(open) > 0 && time.Since(at) < endLimit; time.Sleep(endPoll) {
+		open = slices.DeleteFunc(open, func(id string) bool {
+			status := s.send(http.MethodGet, 0, id)
+			if status == http.StatusGone {
+				s.t.Errorf("job %s was accepted and is not known", id)
+			}
+			return status == http.StatusOK || status == http.StatusGone
+		})
+	}
+	quicktest.Check(s.t, open, quicktest.HasLen, 0, quicktest.Commentf("accepted jobs that did not end"))
+}
+
+// checkRuns holds what executors saw against what callers were told.
+func (s *soak) checkRuns() {
+	runs := s.rig.Runs()
+	for _, line := range fulmarrig.Check(runs) {
+		s.t.Error(line)
+	}
+	done := map[string]int{}
+	ran := map[string]bool{}
+	counted := map[string]bool{}
+	for _, r := range runs {
+		id, _, _ := strings.Cut(r.Task, ".")
+		ran[id] = true
+		if r.How == "done" && !counted[r.Task] {
+			counted[r.Task] = true
+			done[id]++
+		}
+	}
+	for _, id := range s.accepted {
+		quicktest.Check(s.t, done[id], quicktest.Equals, slotTasks+1, quicktest.Commentf("tasks of the accepted job %s", id))
+	}
+	for _, id := range s.refused {
+		quicktest.Check(s.t, ran[id], quicktest.IsFalse, quicktest.Commentf("job %s was refused each time and ran", id))
+	}
+}
