The soak's members listen on loopback addresses of their own

Traced: member 4's log says "bind: address already in use" 47 times; its callers' port, free when it was chosen, had become the metrics port of member 1, whose server answers 200 to everything. The product took no job and lost none; the harness read another server's 200.

Members now use 127.N.SEED.PLACE with fixed ports, N from the process's ID, so no port is chosen before it is used.

--- a/internal/fulmarsoak/member_test.go
+++ b/internal/fulmarsoak/member_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -41,30 +39,18 @@
 	quicktest.Assert(s.t, err, quicktest.IsNil)
 	m.fleet, err = newProxy(s.rig.FleetAddress(), &s.struckBytes)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
-	ports := freeAddresses(s.t, 4)
-	m.callers = ports[0]
+	host := fmt.Sprintf("%s%d", s.hosts, place+1)
+	m.callers = host + ":7001"
 	m.settings = filepath.Join(s.directory, m.name+".jsonc")
 	m.log = filepath.Join(s.directory, m.name+".log")
 	// A member of so few cores has its orders carried by the others.
-	text := fmt.Sprintf(`{"member": %q, "callers": %q, "ready": %q, "peers": %q, "metrics": %q, "store": %q, "fleet": %q, "cores": 0.01, "link_mbps": 1000, "memory_mb": 256}`,
-		m.name, ports[0], ports[1], ports[2], ports[3], m.store.address(), m.fleet.address())
+	text := fmt.Sprintf(`{"member": %[1]q, "callers": %[2]q, "ready": "%[3]s:7002", "peers": "%[3]s:7003", "metrics": "%[3]s:7004", "store": %[4]q, "fleet": %[5]q, "cores": 0.01, "link_mbps": 1000, "memory_mb": 256}`,
+		m.name, m.callers, host, m.store.address(), m.fleet.address())
 	quicktest.Assert(s.t, os.WriteFile(m.settings, []byte(text), 0o600), quicktest.IsNil)
 	go m.run()
 	return m
 }
 
-// freeAddresses returns addresses of ports that were free a moment ago.
-func freeAddresses(t *testing.T, n int) []string {
-	var addresses []string
-	for range n {
-		socket, err := net.Listen("tcp", "127.0.0.1:0")
-		quicktest.Assert(t, err, quicktest.IsNil)
-		defer socket.Close()
-		addresses = append(addresses, socket.Addr().String())
-	}
-	return addresses
-}
-
 func (m *member) run() {
 	defer close(m.ended)
 	for m.start() {
--- a/internal/fulmarsoak/soak_test.go
+++ b/internal/fulmarsoak/soak_test.go
@@ -45,6 +45,11 @@
 	endPoll    = 100 * time.Millisecond
 	slotTasks  = 3
 	longestRun = 900
+	// Loopback addresses of soaks are 127.leastNet.0.0 and higher.
+	leastNet = 20
+	nets     = 200
+	// host is the callers' host, by which members know the queue.
+	host = "soak.example"
 )
 
 // soak is one seed's play.
@@ -53,10 +58,13 @@
 	random    *rand.Rand
 	binary    string
 	directory string
-	clock     fulmarclock.Clock
-	rig       *fulmarrig.Rig
-	members   []*member
-	client    *http.Client
+	// hosts is the start of the members' loopback addresses, which no other soak shares: a port that was free a
+	// moment ago may belong to another process by the time a member listens.
+	hosts   string
+	clock   fulmarclock.Clock
+	rig     *fulmarrig.Rig
+	members []*member
+	client  *http.Client
 
 	struckBytes atomic.Int64
 	mu          sync.Mutex
@@ -88,7 +96,7 @@
 
 func newSoak(t *testing.T, seed uint64, binary string) *soak {
 	s := &soak{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, directory: t.TempDir(), clock: fulmarclock.NewSystem(),
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, directory: t.TempDir(), hosts: fmt.Sprintf("127.%d.%d.", leastNet+os.Getpid()%nets, seed%nets), clock: fulmarclock.NewSystem(),
 		client: &http.Client{Timeout: callLimit}, strikes: map[string]int{}, version: 1,
 	}
 	if *logs != "" {
@@ -136,7 +144,7 @@
 	quicktest.Assert(s.t, s.rig.Configure(map[string]any{
 		"version": s.version,
 		"routes": []map[string]any{{
-			"name": "queue", "host": "127.0.0.1", "prefix": "/queue/", "service": "work", "max_attempts": 9,
+			"name": "queue", "host": host, "prefix": "/queue/", "service": "work", "max_attempts": 9,
 			"slack_factor": 2, "target_latency_ms": 3000, "timeout_ms": 3000,
 		}},
 		"services": []map[string]any{{"name": "work", "admission_control": true}, {"name": "spare", "admission_control": true, "standby": true}},
@@ -229,6 +237,7 @@
 	if err != nil {
 		return 0
 	}
+	request.Host = host
 	response, err := s.client.Do(request)
 	if err != nil {
 		return 0
