No verdict of the new tests rests on wall time

Cause, found when the uses of the wall clock in tests were read once more: (1) TestOrdersOfAMemberThatLeavesAreUnknown passed only within some 12 ms: an order without a limit had a limit of zero at the member, so it ended at once. The product states a limit with each order and was not touched by it; a limit of zero is now none. (2) Streams of that package's tests could seem silent on a machine that stands still for 3 s; their clock now lets messages go at once and no silence pass. (3) Tests of whole members counted a job as failed after 20 s, the soak after 90 s; both now wait, and the timeout of the test run is the only bound. A job is then handed in until one is taken, in place of "some job ended". (4) The stand-in ended a lease when its timer fired, which may be late on a busy machine; a later run could then seem to overlap. It now ends at its own time, checked before each order. (5) A test could stop an owner that was not there yet.

What sleeps in these tests still paces callers and faults; nothing is judged by it.

--- a/internal/fulmarbench/jobs.go
+++ b/internal/fulmarbench/jobs.go
@@ -48,7 +48,9 @@
 	Tasks    int
 	Turn     time.Duration
 	Duration time.Duration
-	Seed     uint64
+	// GiveUp bounds a caller's wait for a job's end; zero waits without end.
+	GiveUp time.Duration
+	Seed   uint64
 }
 
 // rateAt returns a queue's rate at a time: in its turn it asks for what all queues ask for together.
@@ -101,6 +103,7 @@
 	if !o.calm {
 		go fleet.disturb(ctx, o.jobs.Duration, out)
 	}
+	o.jobs.GiveUp = jobGivenUp
 	result := handIn(ctx, fleet.targets(), o.jobs)
 	result.print(out)
 	printRuns(out, fleet.rig)
@@ -162,6 +165,13 @@
 	ended    *hdrhistogram.Histogram
 }
 
+func newJobResult() *jobResult {
+	return &jobResult{
+		accepted: hdrhistogram.New(latencyLeast, latencyMost, latencyDigits),
+		ended:    hdrhistogram.New(latencyLeast, latencyMost, latencyDigits),
+	}
+}
+
 // jobCallers hands jobs in.
 type jobCallers struct {
 	load    JobLoad
@@ -173,10 +183,7 @@
 
 // handIn plays the load and returns once every job has ended or was given up.
 func handIn(ctx context.Context, targets []string, load JobLoad) *jobResult {
-	c := &jobCallers{load: load, targets: targets, client: newClient(), result: &jobResult{
-		accepted: hdrhistogram.New(latencyLeast, latencyMost, latencyDigits),
-		ended:    hdrhistogram.New(latencyLeast, latencyMost, latencyDigits),
-	}}
+	c := &jobCallers{load: load, targets: targets, client: newClient(), result: newJobResult()}
 	start := time.Now()
 	var queues sync.WaitGroup
 	for i := range load.Queues {
@@ -213,7 +220,7 @@
 		return
 	}
 	c.result.add(func(r *jobResult) { _ = r.accepted.RecordValue(time.Since(began).Microseconds()) })
-	for attempt := 0; time.Since(began) < jobGivenUp; attempt++ {
+	for attempt := 0; c.load.GiveUp == 0 || time.Since(began) < c.load.GiveUp; attempt++ {
 		if c.isCompleted(ctx, queue, id, c.targets[(first+attempt)%len(c.targets)]) {
 			took := time.Since(began)
 			c.result.add(func(r *jobResult) { r.end(took, aim) })
--- a/internal/fulmarbench/jobs_test.go
+++ b/internal/fulmarbench/jobs_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 		disturb func(f *jobFleet)
 	}{
 		{"calm", func(*jobFleet) {}},
-		{"the owner stops", func(f *jobFleet) { f.owner().cancel() }},
+		{"the owner stops", func(f *jobFleet) { f.mustOwn().cancel() }},
 		{"every member stops in turn but one", func(f *jobFleet) {
 			for _, m := range f.members[1:] {
 				m.cancel()
@@ -47,15 +48,21 @@
 			fleet, err := startJobFleet(3, 1, 4)
 			defer fleet.close()
 			quicktest.Assert(t, err, quicktest.IsNil)
-			quicktest.Assert(t, fleet.awaitOwner(context.Background()), quicktest.IsNil)
+			fleet.mustOwn()
 			load := JobLoad{Queues: 1, Rate: 10, Tasks: 4, Duration: 3 * time.Second, Seed: 1}
-			go func() {
+			var disturbing sync.WaitGroup
+			disturbing.Go(func() {
 				time.Sleep(load.Duration / 3)
 				r.disturb(fleet)
-			}()
+			})
 			result := handIn(context.Background(), fleet.targets(), load)
+			disturbing.Wait()
 			quicktest.Check(t, result.failed, quicktest.Equals, 0)
-			quicktest.Check(t, result.inAim+result.late > 0, quicktest.IsTrue)
+			// However much was refused meanwhile, a job is taken and ends once all is calm.
+			last := &jobCallers{load: JobLoad{Tasks: 4}, targets: fleet.targets(), client: newClient(), result: newJobResult()}
+			for n := 0; last.result.inAim+last.result.late == 0; n++ {
+				last.call(context.Background(), 0, fmt.Sprintf("ffffffff%08x", n), n%len(last.targets), jobLeastTask)
+			}
 			quicktest.Check(t, fulmarrig.Check(fleet.rig.Runs()), quicktest.HasLen, 0)
 		})
 	}
@@ -67,7 +74,7 @@
 	fleet, err := startJobFleet(1, 1, 4)
 	defer fleet.close()
 	quicktest.Assert(t, err, quicktest.IsNil)
-	quicktest.Assert(t, fleet.awaitOwner(context.Background()), quicktest.IsNil)
+	fleet.mustOwn()
 	callers := &jobCallers{client: newClient()}
 	handIn := func(id string) int {
 		status, _ := callers.send(context.Background(), http.MethodPost, "http://"+fleet.targets()[0]+jobPrefix(0)+id, jobBody(1, 100))
@@ -99,6 +106,16 @@
 	}
 }
 
+// mustOwn waits until a member owns the scheduler and returns it.
+func (f *jobFleet) mustOwn() *jobMember {
+	for {
+		if m := f.owner(); m != nil {
+			return m
+		}
+		time.Sleep(fleetPoll)
+	}
+}
+
 // hasRun tells whether a task of a job was ever started.
 func (f *jobFleet) hasRun(id string) bool {
 	return slices.ContainsFunc(f.rig.Runs(), func(r fulmarrig.Run) bool { return strings.HasPrefix(r.Task, id+".") })
--- a/internal/fulmarrelay/member.go
+++ b/internal/fulmarrelay/member.go
@@ -128,16 +128,24 @@
 	return awaitEnd(ctx, m.options.Clock, received, heard)
 }
 
-// answer carries out one order within its limit.
-func (m *Member) answer(ctx context.Context, o *fulmarrelaypb.Order, answers chan<- *fulmarrelaypb.Answer) {
-	limited, cancel := context.WithTimeout(ctx, fulmarclock.Millis(o.GetLimitMs()).Duration())
+// answer carries out one order within its limit; an answer that comes too late for it still goes out.
+func (m *Member) answer(stream context.Context, o *fulmarrelaypb.Order, answers chan<- *fulmarrelaypb.Answer) {
+	ctx, cancel := limitOf(stream, o)
 	defer cancel()
 	select {
-	case answers <- m.carryOut(limited, o):
-	case <-ctx.Done():
+	case answers <- m.carryOut(ctx, o):
+	case <-stream.Done():
 	}
 }
 
+// limitOf returns the context of an order; one without a limit has the stream's.
+func limitOf(stream context.Context, o *fulmarrelaypb.Order) (context.Context, context.CancelFunc) {
+	if o.GetLimitMs() <= 0 {
+		return context.WithCancel(stream)
+	}
+	return context.WithTimeout(stream, fulmarclock.Millis(o.GetLimitMs()).Duration())
+}
+
 func (m *Member) carryOut(ctx context.Context, o *fulmarrelaypb.Order) *fulmarrelaypb.Answer {
 	executors, number := m.options.Executors, o.GetNumber()
 	switch kind := o.GetKind().(type) {
--- a/internal/fulmarrelay/relay_test.go
+++ b/internal/fulmarrelay/relay_test.go
@@ -62,6 +62,20 @@
 	return answer, r.report, err
 }
 
+// calmClock lets messages go at once and no stream ever seem silent, however slow the machine is.
+type calmClock struct{ fulmarclock.Clock }
+
+func (calmClock) Now() fulmarclock.Millis { return 0 }
+
+func (calmClock) After(wait fulmarclock.Millis) <-chan fulmarclock.Millis {
+	if wait > gatherTime {
+		return nil
+	}
+	done := make(chan fulmarclock.Millis, 1)
+	done <- 0
+	return done
+}
+
 type countNothing struct{}
 
 func (countNothing) Count(string, string) {}
@@ -82,7 +96,7 @@
 
 func newStage(t *testing.T, direct *recorder) *stage {
 	hub := NewHub(HubOptions{
-		Clock: fulmarclock.NewSystem(), Logger: log.New(io.Discard), Counters: countNothing{}, Direct: direct, Cores: 1,
+		Clock: calmClock{}, Logger: log.New(io.Discard), Counters: countNothing{}, Direct: direct, Cores: 1,
 	})
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -101,7 +115,7 @@
 func (s *stage) attach(name string, cores float64, executors Executors) func() {
 	member := NewMember(MemberOptions{
 		Name: name, Cores: cores, Self: "elsewhere", Ownership: ownedBy{fulmarledger.Owner{Member: "owner", Peers: s.address}},
-		Executors: executors, Clock: fulmarclock.NewSystem(), Logger: log.New(io.Discard),
+		Executors: executors, Clock: calmClock{}, Logger: log.New(io.Discard),
 	})
 	before := s.attached()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fulmarsoak/soak_test.go
+++ b/internal/fulmarsoak/soak_test.go
@@ -41,7 +41,6 @@
 	callPause  = 60 * time.Millisecond
 	callLimit  = 4 * time.Second
 	tries      = 4
-	endLimit   = 90 * time.Second
 	endPoll    = 100 * time.Millisecond
 	slotTasks  = 3
 	longestRun = 900
@@ -182,12 +181,9 @@
 
 // awaitService waits until a job is taken.
 func (s *soak) awaitService() {
-	for at := time.Now(); time.Since(at) < endLimit; time.Sleep(endPoll) {
-		if status := s.send(http.MethodPost, 0, fmt.Sprintf("%016x", 1<<40)); status == http.StatusOK {
-			return
-		}
+	for s.send(http.MethodPost, 0, fmt.Sprintf("%016x", 1<<40)) != http.StatusOK {
+		time.Sleep(endPoll)
 	}
-	s.t.Fatal("no member took a job in time")
 }
 
 // call hands one job in after another, each again while it is refused or in doubt.
@@ -263,10 +259,11 @@
 	}
 }
 
-// checkEnds waits until every accepted job is shown as completed.
+// checkEnds waits until every accepted job is shown as completed; one that never does
+// meets the timeout of the test run.
 func (s *soak) checkEnds() {
 	open := slices.Clone(s.accepted)
-	for at := time.Now(); len(open) > 0 && time.Since(at) < endLimit; time.Sleep(endPoll) {
+	for ; len(open) > 0; time.Sleep(endPoll) {
 		open = slices.DeleteFunc(open, func(id string) bool {
 			status := s.send(http.MethodGet, 0, id)
 			if status == http.StatusGone {
@@ -275,7 +272,6 @@
 			return status == http.StatusOK || status == http.StatusGone
 		})
 	}
-	quicktest.Check(s.t, open, quicktest.HasLen, 0, quicktest.Commentf("accepted jobs that did not end"))
 }
 
 // checkRuns holds what executors saw against what callers were told.
--- a/internal/fulmarstandin/fulmarrig/executor.go
+++ b/internal/fulmarstandin/fulmarrig/executor.go
@@ -97,6 +97,7 @@
 
 // admit checks an order's token; the caller holds the lock.
 func (e *executor) admit(w http.ResponseWriter, token int64) bool {
+	e.expire()
 	if token < e.token {
 		answer(w, http.StatusConflict, orderAnswer{e.clock(), "fence"})
 		return false
@@ -158,28 +159,35 @@
 func (e *executor) lapseAll() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.expire()
+}
+
+// expire ends what runs once its lease is over, at the lease's own time: the timer
+// may be late on a busy machine. The caller holds the lock.
+func (e *executor) expire() {
 	if e.clock() < e.lease {
 		return
 	}
 	for task := range e.running {
-		e.end(task, fulmarjob.EndedLapsed)
+		e.end(task, fulmarjob.EndedLapsed, e.opened+e.lease)
 	}
 }
 
 func (e *executor) endLater(task string, run int64, how fulmarjob.Ending) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.expire()
 	if p := e.running[task]; p != nil && p.run.Number == run {
-		e.end(task, how)
+		e.end(task, how, e.rig.options.Clock.Now())
 	}
 }
 
-// end lists the end of a run; the caller holds the lock.
-func (e *executor) end(task string, how fulmarjob.Ending) {
+// end lists the end of a run at a time; the caller holds the lock.
+func (e *executor) end(task string, how fulmarjob.Ending, at fulmarclock.Millis) {
 	p := e.running[task]
 	p.timer.Stop()
 	delete(e.running, task)
-	e.rig.finish(p.run, e.rig.options.Clock.Now(), string(how))
+	e.rig.finish(p.run, at, string(how))
 	e.count++
 	e.ends = append(e.ends, listedEnd{number: e.count, run: p.run, how: how})
 	close(e.changed)
