--- a/internal/fulmarrelay/link.go
+++ b/internal/fulmarrelay/link.go
@@ -165,7 +165,8 @@
 	}
 }
 
-// gather sends what comes on a channel in messages, and an empty one when nothing does.
+// gather sends what comes on a channel in messages, and an empty one when nothing
+// does. It ends at the first error of send, which the stream's receiving side meets and logs too.
 func gather[T any](ctx context.Context, clock fulmarclock.Clock, values <-chan T, send func([]T) error) {
 	for {
 		var batch []T
