Peers: call timeouts follow the latency; staleness by the oldest missing revision

Cause: a digest call and the fetch of the peer's state shared one timeout of four digest intervals (200 ms in the fleet tests). Two peers short of CPU time respond later than that every time, so a member that reaches both never gets the newer assignments it knows of, and refuses its callers as fenced after 3 s. Besides, a member that adopted each revision soon after its report counted as stale since the first report while there was always a newer one.

Change: each call has a timeout of its own, at least four times the latest latency, doubled after a timeout, at most half the fencing timeout; staleness counts from the first report of the oldest revision that is missing. A digest in a response counts as current when its call was sent, not when it arrived, so that longer calls make no contact look newer than it is. An invalid address of a member is logged, once.

--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -141,7 +141,10 @@
 	d.platform = fulmarplatform.NewClient(d.settings.PlatformURL, times.PlatformCallTimeout, d.metrics)
 	d.fleet = fulmarfleet.New(d.platform, d.clock, d.logger, d.metrics, times.VMListInterval, times.FencingTimeout*watchTimeoutNumerator/watchTimeoutDenominator)
 	d.membership = fulmarmember.NewMembership(d.platform, d.clock, d.self, times.LeaseDuration, d.logger, d.metrics)
-	d.exchange = fulmarmember.NewExchange(d.self, d.fleet, d.clock, d, d.metrics, d.logger, times.DigestInterval)
+	d.exchange = fulmarmember.NewExchange(fulmarmember.ExchangeOptions{
+		Self: d.self, Fleet: d.fleet, Clock: d.clock, Source: d, Metrics: d.metrics, Logger: d.logger,
+		Interval: times.DigestInterval, FencingTimeout: times.FencingTimeout,
+	})
 	d.claimer = fulmarclaim.NewClaimer(d.platform, d.clock, fulmarclaim.Options{
 		Retention: times.ClaimRetention, OpsPerSecond: limits.ClaimsPerSecond,
 	})
--- a/internal/fulmarmember/exchange.go
+++ b/internal/fulmarmember/exchange.go
@@ -22,8 +22,11 @@
 	digestRetention = 10 * fulmarclock.Minute
 	// idleIntervals is the number of digest intervals between messages while no pool has demand.
 	idleIntervals = 4
-	// callTimeoutIntervals is the timeout of a call to a peer, in digest intervals.
-	callTimeoutIntervals = 4
+	// minCallIntervals is the minimum timeout of a call to a peer, in digest intervals.
+	minCallIntervals = 4
+	// callsPerFencingTimeout is how many calls with the maximum timeout fit into the fencing
+	// timeout, so that a lost response alone never fences a member.
+	callsPerFencingTimeout = 2
 )
 
 // Source provides this member's state for its digests and receives the peers' demands.
@@ -50,6 +53,21 @@
 	PeerBytes(direction string, n int)
 }
 
+// ExchangeOptions configure an Exchange.
+type ExchangeOptions struct {
+	Self    fulmarfleet.Member
+	Fleet   *fulmarfleet.Fleet
+	Clock   fulmarclock.Clock
+	Source  Source
+	Metrics Metrics
+	Logger  *log.Logger
+	// Interval is the time between two digests to a peer.
+	Interval fulmarclock.Millis
+	// FencingTimeout is how long a member may dispatch work without contact. It bounds the
+	// timeouts of the calls to peers.
+	FencingTimeout fulmarclock.Millis
+}
+
 // Exchange sends this member's digest to its peers at each interval and stores theirs.
 // It is also the gRPC service for the peers' calls.
 type Exchange struct {
@@ -61,24 +79,28 @@
 	metrics  Metrics
 	logger   *log.Logger
 	interval fulmarclock.Millis
+	// maxCallTimeout is the maximum timeout of a call to a peer.
+	maxCallTimeout fulmarclock.Millis
 
 	mu      sync.Mutex
 	digests map[string]receivedDigest
 	peers   map[string]*peer
-	// reportedRevision is the newest revision of the assignments in a peer's digest.
-	reportedRevision fulmarplatform.Revision
-	behindSince      fulmarclock.Millis
+	// staleness tracks the revisions of the assignments in the peers' digests.
+	staleness staleness
 }
 
+// receivedDigest is a peer's digest and a time at which it was still current: the arrival
+// of the peer's call, or the sending of the call that it responds to.
 type receivedDigest struct {
-	digest     *fulmarpeerpb.Digest
-	receivedAt fulmarclock.Millis
+	digest    *fulmarpeerpb.Digest
+	currentAt fulmarclock.Millis
 }
 
 // NewExchange returns an exchange that sends a digest at each interval.
-func NewExchange(self fulmarfleet.Member, fleet *fulmarfleet.Fleet, clock fulmarclock.Clock, source Source, metrics Metrics, logger *log.Logger, interval fulmarclock.Millis) *Exchange {
+func NewExchange(o ExchangeOptions) *Exchange {
 	return &Exchange{
-		self: self, fleet: fleet, clock: clock, source: source, metrics: metrics, logger: logger, interval: interval,
+		self: o.Self, fleet: o.Fleet, clock: o.Clock, source: o.Source, metrics: o.Metrics, logger: o.Logger,
+		interval: o.Interval, maxCallTimeout: max(o.FencingTimeout/callsPerFencingTimeout, minCallIntervals*o.Interval),
 		digests: map[string]receivedDigest{}, peers: map[string]*peer{},
 	}
 }
@@ -105,7 +127,7 @@
 	e.closePeers()
 }
 
-// DigestAge returns the time since a member's last digest arrived, or -1 when there is none.
+// DigestAge returns the time since a member's last digest was current, or -1 when there is none.
 func (e *Exchange) DigestAge(name string) fulmarclock.Millis {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -113,7 +135,7 @@
 	if !ok {
 		return -1
 	}
-	return e.clock.Now() - received.receivedAt
+	return e.clock.Now() - received.currentAt
 }
 
 // Generation returns the configuration generation in a member's last digest, or 0.
@@ -129,7 +151,7 @@
 	defer e.mu.Unlock()
 	n := 0
 	for name, received := range e.digests {
-		if name != e.self.Name && e.clock.Now()-received.receivedAt <= within {
+		if name != e.self.Name && e.clock.Now()-received.currentAt <= within {
 			n++
 		}
 	}
@@ -143,28 +165,26 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	received, ok := e.digests[name]
-	if !ok || e.clock.Now()-received.receivedAt > within {
+	if !ok || e.clock.Now()-received.currentAt > within {
 		return false
 	}
 	return received.digest.GetAppliedSequence() >= sequence && !slices.Contains(received.digest.GetBusyVms(), vm)
 }
 
-// BehindSince returns when a peer first reported assignments that are newer than this
-// member's, or zero when this member has the newest.
+// BehindSince returns when a peer first reported the oldest revision of the assignments
+// that this member lacks, or zero when this member has the newest.
 func (e *Exchange) BehindSince() fulmarclock.Millis {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, revision := e.fleet.View().Table(); e.reportedRevision <= revision {
-		e.behindSince = 0
-	}
-	return e.behindSince
+	_, revision := e.fleet.View().Table()
+	return e.staleness.since(revision)
 }
 
 // Exchange stores a peer's digest and returns this member's own.
 func (e *Exchange) Exchange(_ context.Context, digest *fulmarpeerpb.Digest) (*fulmarpeerpb.Digest, error) {
 	e.metrics.PeerMessage("in")
 	e.metrics.PeerBytes("in", proto.Size(digest))
-	e.storeDigest(digest)
+	e.storeDigest(digest, e.clock.Now())
 	response := e.newDigest()
 	e.metrics.PeerBytes("out", proto.Size(response))
 	return response, nil
@@ -190,20 +210,16 @@
 	return digest
 }
 
-func (e *Exchange) storeDigest(digest *fulmarpeerpb.Digest) {
+// storeDigest stores a peer's digest that was current at a time, unless a newer one is stored.
+func (e *Exchange) storeDigest(digest *fulmarpeerpb.Digest, currentAt fulmarclock.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.clock.Now()
-	e.digests[digest.GetMember()] = receivedDigest{digest: digest, receivedAt: now}
-	reported := fulmarplatform.Revision(digest.GetTableRevision())
-	_, revision := e.fleet.View().Table()
-	if e.reportedRevision <= revision {
-		e.behindSince = 0
-	}
-	e.reportedRevision = max(e.reportedRevision, reported)
-	if reported > revision && e.behindSince == 0 {
-		e.behindSince = max(now, 1)
+	name := digest.GetMember()
+	if stored, found := e.digests[name]; !found || stored.currentAt <= currentAt {
+		e.digests[name] = receivedDigest{digest: digest, currentAt: currentAt}
 	}
+	_, revision := e.fleet.View().Table()
+	e.staleness.report(e.clock.Now(), fulmarplatform.Revision(digest.GetTableRevision()), revision)
 }
 
 // recentDemands returns the other members' demands by pool from digests not older than
@@ -214,10 +230,10 @@
 	now := e.clock.Now()
 	demands := map[string][]fulmardispatch.Demand{}
 	for name, received := range e.digests {
-		if now-received.receivedAt > digestRetention {
+		if now-received.currentAt > digestRetention {
 			delete(e.digests, name)
 		}
-		if name == e.self.Name || now-received.receivedAt > maxDigestAge {
+		if name == e.self.Name || now-received.currentAt > maxDigestAge {
 			continue
 		}
 		for _, load := range received.digest.GetPools() {
@@ -267,17 +283,17 @@
 
 func (e *Exchange) callPeer(ctx context.Context, p *peer, digest *fulmarpeerpb.Digest) {
 	defer e.releasePeer(p)
-	ctx, cancel := context.WithTimeout(ctx, (callTimeoutIntervals * e.interval).Duration())
-	defer cancel()
 	e.metrics.PeerMessage("out")
 	e.metrics.PeerBytes("out", proto.Size(digest))
-	response, err := p.client.Exchange(ctx, digest)
+	sentAt := e.clock.Now()
+	response, err := callWithTimeout(ctx, e, p, func(ctx context.Context) (*fulmarpeerpb.Digest, error) {
+		return p.client.Exchange(ctx, digest)
+	})
 	if err != nil {
-		e.metrics.PeerMessage("failed")
 		return
 	}
 	e.metrics.PeerBytes("in", proto.Size(response))
-	e.storeDigest(response)
+	e.storeDigest(response, sentAt)
 	if hasUpdates(response, e.fleet.View()) || e.isIsolated() {
 		e.fetchState(ctx, p)
 	}
@@ -288,9 +304,11 @@
 
 // fetchState merges the newer parts of a peer's fleet view into this member's.
 func (e *Exchange) fetchState(ctx context.Context, p *peer) {
-	response, err := p.client.State(ctx, stateRequest(e.fleet.View(), e.isIsolated()))
+	request := stateRequest(e.fleet.View(), e.isIsolated())
+	response, err := callWithTimeout(ctx, e, p, func(ctx context.Context) (*fulmarpeerpb.StateReply, error) {
+		return p.client.State(ctx, request)
+	})
 	if err != nil {
-		e.metrics.PeerMessage("failed")
 		return
 	}
 	if err := mergeState(e.fleet, response); err != nil {
--- a/internal/fulmarmember/membership.go
+++ b/internal/fulmarmember/membership.go
@@ -6,7 +6,7 @@
 //
 //	membership := fulmarmember.NewMembership(leases, clock, self, ttl, logger, failures)
 //	go membership.Run(ctx)
-//	exchange := fulmarmember.NewExchange(self, fleet, clock, source, metrics, logger, interval)
+//	exchange := fulmarmember.NewExchange(exchangeOptions)
 //	go exchange.Run(ctx)
 package fulmarmember
 
--- a/internal/fulmarmember/peer.go
+++ b/internal/fulmarmember/peer.go
@@ -1,9 +1,13 @@
 package fulmarmember
 
 import (
+	"context"
+
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarfleet"
@@ -17,11 +21,40 @@
 	pingTimeout = 2 * fulmarclock.Second
 )
 
-// peer is the connection to another member; busy is set while a call is in flight.
+// peer is the connection to another member; busy is set while a call is in flight. The
+// connection is nil if the member's address is invalid.
 type peer struct {
 	connection *grpc.ClientConn
 	client     fulmarpeerpb.PeersClient
 	busy       bool
+	// timeout belongs to the goroutine of the call in flight.
+	timeout callTimeout
+}
+
+// close closes the connection, if there is one.
+func (p *peer) close() {
+	if p.connection != nil {
+		_ = p.connection.Close()
+	}
+}
+
+// callWithTimeout makes one call to a peer with a timeout that follows the latency of the
+// earlier ones.
+func callWithTimeout[T any](ctx context.Context, e *Exchange, p *peer, call func(ctx context.Context) (T, error)) (T, error) {
+	callCtx, cancel := context.WithTimeout(ctx, p.timeout.value().Duration())
+	defer cancel()
+	sentAt := e.clock.Now()
+	response, err := call(callCtx)
+	switch {
+	case err == nil:
+		p.timeout.recordResponse(e.clock.Now() - sentAt)
+	case status.Code(err) == codes.DeadlineExceeded:
+		p.timeout.recordTimeout()
+	}
+	if err != nil {
+		e.metrics.PeerMessage("failed")
+	}
+	return response, err
 }
 
 // acquirePeer returns the connection to a member and marks it busy. It returns nil when
@@ -31,20 +64,29 @@
 	defer e.mu.Unlock()
 	p, ok := e.peers[member.PeerAddress]
 	if !ok {
-		connection, err := dialPeer(member.PeerAddress)
-		if err != nil {
-			return nil
-		}
-		p = &peer{connection: connection, client: fulmarpeerpb.NewPeersClient(connection)}
+		p = e.newPeer(member)
 		e.peers[member.PeerAddress] = p
 	}
-	if p.busy {
+	if p.busy || p.connection == nil {
 		return nil
 	}
 	p.busy = true
 	return p
 }
 
+func (e *Exchange) newPeer(member fulmarfleet.Member) *peer {
+	connection, err := dialPeer(member.PeerAddress)
+	if err != nil {
+		e.metrics.PeerMessage("failed")
+		e.logger.Warn("a member's address is invalid; no digests are sent to it", "peer", member.Name, "address", member.PeerAddress, "error", err)
+		return &peer{}
+	}
+	return &peer{
+		connection: connection, client: fulmarpeerpb.NewPeersClient(connection),
+		timeout: newCallTimeout(minCallIntervals*e.interval, e.maxCallTimeout),
+	}
+}
+
 func dialPeer(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(),
@@ -69,7 +111,7 @@
 	}
 	for address, p := range e.peers {
 		if !addresses[address] && !p.busy {
-			_ = p.connection.Close()
+			p.close()
 			delete(e.peers, address)
 		}
 	}
@@ -79,6 +121,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, p := range e.peers {
-		_ = p.connection.Close()
+		p.close()
 	}
 }
