Calls that change something distinguish a lost response from a failure

Cause: fulmarapi reported each failed connection as unavailable (exit code 5), also after the request to change the configuration was sent, though the change may be committed; a cut response even ended as a usage error. Grant, Renew, Revoke, Register, Drain and Reboot of fulmarplatform reported a lost response as unavailable, which promises that nothing changed. An operators' body over the limit was reported as a JSON error.

Change: unknown unless the connection was refused or the platform or member responded; status 413 and the limit for a body that is too large.

--- a/internal/fulmaroperator/server.go
+++ b/internal/fulmaroperator/server.go
@@ -12,7 +12,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -122,9 +122,9 @@
 // applyConfig commits a document that is based on a given generation, and responds once it is committed.
 func (s *Server) applyConfig(c echo.Context) error {
 	var request fulmarapi.ConfigRequest
-	body := io.LimitReader(c.Request().Body, maxRequestBytes)
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxRequestBytes)
 	if err := json.NewDecoder(body).Decode(&request); err != nil {
-		return c.JSON(http.StatusBadRequest, fulmarapi.OperatorError{Kind: "bad-request", Detail: err.Error()})
+		return writeBodyError(c, err)
 	}
 	document, err := fulmarconfig.Parse(request.File, []byte(request.Text))
 	if err != nil {
@@ -182,6 +182,16 @@
 	return next, err
 }
 
+// writeBodyError responds to a body that is too large or not valid JSON.
+func writeBodyError(c echo.Context, err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		detail := fmt.Sprintf("the request body is larger than %d bytes", tooLarge.Limit)
+		return c.JSON(http.StatusRequestEntityTooLarge, fulmarapi.OperatorError{Kind: "bad-request", Detail: detail})
+	}
+	return c.JSON(http.StatusBadRequest, fulmarapi.OperatorError{Kind: "bad-request", Detail: err.Error()})
+}
+
 // writeDocumentError responds to a document that is not valid.
 func writeDocumentError(c echo.Context, err error) error {
 	var field *fulmarsettings.FieldError
--- a/internal/fulmarplatform/client.go
+++ b/internal/fulmarplatform/client.go
@@ -75,7 +75,7 @@
 		return 0, &LeaseLostError{Lease: lease}
 	}
 	if err != nil && !isNotExecuted(err) {
-		return 0, &UnknownOutcomeError{Key: key, Cause: err}
+		return 0, &UnknownOutcomeError{Operation: PathSwap, Key: key, Cause: err}
 	}
 	return response.Revision, wrapUnavailable(PathSwap, err)
 }
@@ -94,7 +94,8 @@
 	return changes, wrapUnavailable(PathWatch, err)
 }
 
-// Grant creates a lease that expires when it has not been renewed for ttl.
+// Grant creates a lease that expires when it has not been renewed for ttl. After an
+// *UnknownOutcomeError there may be a lease that nobody renews.
 func (c *Client) Grant(ctx context.Context, ttl fulmarclock.Millis) (LeaseID, error) {
 	var response LeaseResponse
 	err := c.callLease(ctx, PathGrant, LeaseRequest{TTLMillis: int64(ttl)}, &response)
@@ -118,7 +119,7 @@
 func (c *Client) callLease(ctx context.Context, path string, request LeaseRequest, response *LeaseResponse) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
 	defer cancel()
-	return wrapUnavailable(path, c.call(ctx, http.MethodPost, path, request, response))
+	return wrapWriteError(path, c.call(ctx, http.MethodPost, path, request, response))
 }
 
 // VMs returns the VM list if it is newer than version; otherwise found is false.
@@ -136,21 +137,21 @@
 func (c *Client) Register(ctx context.Context, vm VM) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
 	defer cancel()
-	return wrapUnavailable(PathVMs, c.call(ctx, http.MethodPost, PathVMs, vm, nil))
+	return wrapWriteError(PathVMs, c.call(ctx, http.MethodPost, PathVMs, vm, nil))
 }
 
 // Drain asks the platform to drain a VM.
 func (c *Client) Drain(ctx context.Context, vm string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
 	defer cancel()
-	return wrapUnavailable(PathDrain, c.call(ctx, http.MethodPost, PathDrain+"?id="+url.QueryEscape(vm), nil, nil))
+	return wrapWriteError(PathDrain, c.call(ctx, http.MethodPost, PathDrain+"?id="+url.QueryEscape(vm), nil, nil))
 }
 
 // Reboot asks the platform to reboot a drained VM.
 func (c *Client) Reboot(ctx context.Context, vm string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout.Duration())
 	defer cancel()
-	return wrapUnavailable(PathReboot, c.call(ctx, http.MethodPost, PathReboot+"?id="+url.QueryEscape(vm), nil, nil))
+	return wrapWriteError(PathReboot, c.call(ctx, http.MethodPost, PathReboot+"?id="+url.QueryEscape(vm), nil, nil))
 }
 
 // call sends a request and decodes the body of the response, also that of an error status, into response.
@@ -215,6 +216,16 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// wrapWriteError wraps the error of an operation that changes something: in an
+// *UnavailableError if the platform certainly changed nothing, otherwise in an
+// *UnknownOutcomeError.
+func wrapWriteError(operation string, err error) error {
+	if err == nil || isNotExecuted(err) {
+		return wrapUnavailable(operation, err)
+	}
+	return &UnknownOutcomeError{Operation: operation, Cause: err}
+}
+
 // wrapUnavailable wraps the error of an operation in an *UnavailableError; nil stays nil.
 func wrapUnavailable(operation string, err error) error {
 	if err == nil {
--- a/internal/fulmarplatform/platform.go
+++ b/internal/fulmarplatform/platform.go
@@ -9,7 +9,8 @@
 //
 // A write has one of three results: committed (no error), *ConflictError, or
 // *UnknownOutcomeError if the response was lost and the write may have taken effect.
-// *UnavailableError means that the write had no effect.
+// *UnavailableError means that the write had no effect. The other calls that change
+// something, such as Renew and Drain, distinguish the last two in the same way.
 package fulmarplatform
 
 import "fmt"
@@ -76,22 +77,26 @@
 	return fmt.Sprintf("key %q is at revision %d instead of the expected revision", e.Key, e.Current)
 }
 
-// UnknownOutcomeError reports that the response to a write was lost: the write may have taken effect.
+// UnknownOutcomeError reports that the response to a call was lost: the call may have taken
+// effect. Key is set if the call was CompareAndSwap.
 type UnknownOutcomeError struct {
-	Key   string
-	Cause error
+	Operation string
+	Key       string
+	Cause     error
 }
 
-// Error returns the key and the cause.
+// Error returns the operation, the key if there is one, and the cause.
 func (e *UnknownOutcomeError) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("platform call %s has an unknown outcome: %v", e.Operation, e.Cause)
+	}
 	return fmt.Sprintf("writing key %q has an unknown outcome: %v", e.Key, e.Cause)
 }
 
 // Unwrap returns the cause.
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
 
-// UnavailableError reports that a call to the platform failed. If the call was CompareAndSwap,
-// nothing was written.
+// UnavailableError reports that a call to the platform failed. It certainly changed nothing.
 type UnavailableError struct {
 	Operation string
 	Cause     error
--- a/internal/fulmarplatform/swap.go
+++ b/internal/fulmarplatform/swap.go
@@ -58,7 +58,7 @@
 		select {
 		case <-clock.After(delay + fulmarclock.Millis(rand.Int64N(int64(delay)))):
 		case <-ctx.Done():
-			return Entry{}, &UnknownOutcomeError{Key: swap.Key, Cause: err}
+			return Entry{}, &UnknownOutcomeError{Operation: PathSwap, Key: swap.Key, Cause: err}
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
--- a/pkg/fulmarapi/client.go
+++ b/pkg/fulmarapi/client.go
@@ -4,10 +4,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 )
 
+// Kinds of an OperatorError that the client sets itself.
+const (
+	kindUnavailable = "unavailable"
+	kindUnknown     = "unknown"
+)
+
 // maxResponseBytes bounds the body of a response.
 const maxResponseBytes = 16 << 20
 
@@ -42,14 +50,15 @@
 }
 
 // Apply requests a new generation of the configuration and returns once it is committed.
-// A refusal is an *OperatorError.
+// A refusal is an *OperatorError. Its kind is unknown if the request may have been sent and
+// no response of the member tells its outcome.
 func (c *Client) Apply(ctx context.Context, request ConfigRequest) (ConfigAccepted, error) {
 	var accepted ConfigAccepted
 	return accepted, c.call(ctx, http.MethodPut, "/v1/config", request, &accepted)
 }
 
-// call sends a request and decodes the response. A response that is not OK, or a failed
-// connection, is returned as an *OperatorError.
+// call sends a request and decodes the response. A response that is not OK, one that can't be
+// decoded, or a failed connection is returned as an *OperatorError.
 func (c *Client) call(ctx context.Context, method, path string, request, response any) error {
 	var body io.Reader
 	if request != nil {
@@ -69,14 +78,39 @@
 	}
 	httpResponse, err := c.http.Do(httpRequest)
 	if err != nil {
-		return &OperatorError{Kind: "unavailable", Detail: err.Error()}
+		return &OperatorError{Kind: kindOfFailure(method, err), Detail: err.Error()}
 	}
 	defer httpResponse.Body.Close()
 	decoder := json.NewDecoder(io.LimitReader(httpResponse.Body, maxResponseBytes))
 	if httpResponse.StatusCode == http.StatusOK {
-		return decoder.Decode(response)
+		if err := decoder.Decode(response); err != nil {
+			return &OperatorError{Kind: kindOfFailure(method, err), Detail: "the response is incomplete: " + err.Error()}
+		}
+		return nil
+	}
+	operatorError := &OperatorError{}
+	if err := decoder.Decode(operatorError); err != nil || operatorError.Kind == "" {
+		return &OperatorError{Kind: kindOfStatus(method, httpResponse.StatusCode), Detail: httpResponse.Status}
 	}
-	operatorError := &OperatorError{Kind: "unavailable", Detail: httpResponse.Status}
-	_ = decoder.Decode(operatorError)
 	return operatorError
 }
+
+// kindOfFailure returns the kind of error of a request without a complete response. A change
+// may have been carried out unless the connection was never established.
+func kindOfFailure(method string, err error) string {
+	var operation *net.OpError
+	isDial := errors.As(err, &operation) && operation.Op == "dial"
+	if method == http.MethodGet || isDial {
+		return kindUnavailable
+	}
+	return kindUnknown
+}
+
+// kindOfStatus returns the kind of error of a response that no member wrote, such as that of
+// a proxy. A proxy that reports an error of the server may have forwarded a change before.
+func kindOfStatus(method string, status int) string {
+	if method == http.MethodGet || status < http.StatusInternalServerError {
+		return kindUnavailable
+	}
+	return kindUnknown
+}
