Daemon: end with a failed component; report only a shutdown as stopping

Causes and changes: - Run waited for its context after another component had failed, with all listeners closed. The task that waits now ends with the group, and the cause is logged. - IsStopping was true for each member that was not ready, and digests sent it. It is now true only after MarkNotReady or Stop. - PollVMs set the list without comparing versions, so that a late response replaced a newer list of a peer. It now merges as peers' lists are merged. - A team whose quota was removed kept it until the pool was removed. - Without CLOCK_BOOTTIME the boot clock followed the wall clock; now it is the monotonic clock. - HasPlatformResponded had no caller and is gone.

--- a/internal/fulmarclock/boot.go
+++ b/internal/fulmarclock/boot.go
@@ -6,24 +6,42 @@
 	"golang.org/x/sys/unix"
 )
 
-// Boot is a clock whose monotonic time includes the time that the VM was suspended.
+// Boot is a clock whose monotonic time includes the time that the VM was suspended. If the
+// kernel does not provide that time, it is monotonic without the suspended time.
 type Boot struct {
 	*System
+	read  readBootTime
 	start Millis
 }
 
+// readBootTime returns the time since the VM booted, including suspended time.
+type readBootTime func() (time.Duration, error)
+
 // NewBoot returns a clock that starts at zero now.
-func NewBoot() *Boot { return &Boot{System: NewSystem(), start: sinceBoot()} }
+func NewBoot() *Boot { return newBoot(sinceBoot) }
+
+func newBoot(read readBootTime) *Boot {
+	b := &Boot{System: NewSystem()}
+	if boot, err := read(); err == nil {
+		b.read, b.start = read, FromDuration(boot)
+	}
+	return b
+}
 
 // Now returns the monotonic time since the clock was created, including suspended time.
-func (b *Boot) Now() Millis { return sinceBoot() - b.start }
+func (b *Boot) Now() Millis {
+	if b.read == nil {
+		return b.System.Now()
+	}
+	boot, err := b.read()
+	if err != nil {
+		return b.System.Now()
+	}
+	return FromDuration(boot) - b.start
+}
 
-// sinceBoot returns the time since the VM booted, including suspended time.
-func sinceBoot() Millis {
+func sinceBoot() (time.Duration, error) {
 	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// The kernel has no CLOCK_BOOTTIME: fall back to the wall clock.
-		return FromDuration(time.Duration(time.Now().UnixNano()))
-	}
-	return FromDuration(time.Duration(t.Nano()))
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return time.Duration(t.Nano()), err
 }
--- a/internal/fulmardaemon/daemon.go
+++ b/internal/fulmardaemon/daemon.go
@@ -246,8 +246,8 @@
 	d.pools.SetPeerDemands(demands)
 }
 
-// IsStopping reports whether the member is not ready for callers, which includes the time while it stops.
-func (d *Daemon) IsStopping() bool { return !d.gateway.IsReady() }
+// IsStopping reports whether this member is shutting down.
+func (d *Daemon) IsStopping() bool { return d.gateway.IsStopping() }
 
 // Status returns the state of this member, its pools and its view of the fleet.
 func (d *Daemon) Status() fulmarapi.Status {
--- a/internal/fulmardaemon/export_test.go
+++ b/internal/fulmardaemon/export_test.go
@@ -6,6 +6,9 @@
 // fails. Run continues until its context ends.
 func (d *Daemon) Kill() { d.callerListener.close() }
 
+// ClosePeerListener makes the component that serves the peers fail.
+func (d *Daemon) ClosePeerListener() { _ = d.peerListener.Close() }
+
 // MergeRecord adopts a configuration as from a peer, without applying it.
 func (d *Daemon) MergeRecord(record fulmarconfig.Record) { d.fleet.MergeRecord(record) }
 
--- a/internal/fulmardaemon/run.go
+++ b/internal/fulmardaemon/run.go
@@ -6,9 +6,10 @@
 	"github.com/oklog/run"
 )
 
-// Run runs the member until ctx ends. It then stops gracefully: it fails the
-// readiness check, refuses new requests, waits for those in flight, revokes the
-// member's lease and closes the components.
+// Run runs the member until ctx ends or a component fails. When ctx ends it stops
+// gracefully: it fails the readiness check, refuses new requests, waits for those in
+// flight, marks the member's registration as left and closes the components. It returns
+// the error of the component that failed.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.close()
 	var group run.Group
@@ -21,13 +22,28 @@
 	group.Add(d.callerListener.serve, func(error) { d.callerListener.close() })
 	group.Add(d.operatorListener.serve, func(error) { d.operatorListener.close() })
 	group.Add(func() error { return d.peerServer.Serve(d.peerListener) }, func(error) { d.peerServer.Stop() })
+	d.addShutdown(ctx, &group)
+	d.logger.Info("member started", "callers", d.CallerAddress(), "operators", d.OperatorAddress(), "peers", d.self.PeerAddress)
+	err := group.Run()
+	if err != nil && ctx.Err() == nil {
+		d.logger.Error("a component failed; the member stops", "error", err)
+	}
+	return err
+}
+
+// addShutdown adds the task that stops the member gracefully when ctx ends. If another
+// component fails first, the group closes the listeners at once and this task only returns.
+func (d *Daemon) addShutdown(ctx context.Context, group *run.Group) {
+	failed := make(chan struct{})
 	group.Add(func() error {
-		<-ctx.Done()
-		d.stop()
+		select {
+		case <-ctx.Done():
+			d.stop()
+		case <-failed:
+			d.gateway.Stop()
+		}
 		return nil
-	}, func(error) {})
-	d.logger.Info("member started", "callers", d.CallerAddress(), "operators", d.OperatorAddress(), "peers", d.self.PeerAddress)
-	return group.Run()
+	}, func(error) { close(failed) })
 }
 
 // addTask adds a background task to the group. Its context ends when the group stops.
--- a/internal/fulmardispatch/scheduler.go
+++ b/internal/fulmardispatch/scheduler.go
@@ -230,9 +230,7 @@
 	s.settings = settings
 	s.retries.SetShare(settings.RetryShare)
 	s.queue.SetBounds(settings.Bounds)
-	for name, quota := range settings.Teams {
-		s.queue.SetTeam(name, quota)
-	}
+	s.queue.SetQuotas(settings.Teams)
 }
 
 // release frees the slot of a ticket and records the result of its attempt.
--- a/internal/fulmarentry/gateway.go
+++ b/internal/fulmarentry/gateway.go
@@ -127,6 +127,9 @@
 // callers. Requests are still accepted until Stop.
 func (g *Gateway) MarkNotReady() { g.notReady.Store(true) }
 
+// IsStopping reports whether MarkNotReady or Stop was called.
+func (g *Gateway) IsStopping() bool { return g.notReady.Load() }
+
 // Stop makes the gateway refuse new requests; those in flight continue.
 func (g *Gateway) Stop() {
 	g.MarkNotReady()
--- a/internal/fulmarfleet/fleet.go
+++ b/internal/fulmarfleet/fleet.go
@@ -129,10 +129,7 @@
 			f.failures.PlatformFailure("vm-list")
 		}
 		if found {
-			f.update(func(next *View) bool {
-				next.setVMs(list, f.clock.Now())
-				return true
-			})
+			f.MergeVMs(list)
 		}
 		select {
 		case <-f.clock.After(f.vmPollInterval):
@@ -146,7 +143,6 @@
 func (f *Fleet) applyChanges(changes fulmarplatform.Changes) {
 	f.update(func(next *View) bool {
 		next.lastPlatformResponse = f.clock.Now()
-		next.platformResponded = true
 		next.members = maps.Clone(next.members)
 		next.expired = maps.Clone(next.expired)
 		for _, entry := range changes.Entries {
--- a/internal/fulmarfleet/fleet_test.go
+++ b/internal/fulmarfleet/fleet_test.go
@@ -99,3 +99,38 @@
 		})
 	}
 }
+
+// olderList responds to each poll of the VM list with version 3, as a response that was on its
+// way while a peer sent a newer list.
+type olderList struct {
+	scriptedPlatform
+	polled chan struct{}
+}
+
+func (l *olderList) VMs(ctx context.Context, _ int64) (fulmarplatform.VMList, bool, error) {
+	select {
+	case l.polled <- struct{}{}:
+	case <-ctx.Done():
+	}
+	return fulmarplatform.VMList{Version: 3}, true, nil
+}
+
+// TestPolledVMListDoesNotReplaceNewerOne polls an older list than the one that a peer has sent.
+func TestPolledVMListDoesNotReplaceNewerOne(t *testing.T) {
+	c := qt.New(t)
+	platform := &olderList{polled: make(chan struct{})}
+	clock := fulmarclock.NewManual(0)
+	fleet := fulmarfleet.New(platform, clock, log.New(io.Discard), discardFailures{}, 1000, 1000)
+	fleet.MergeVMs(fulmarplatform.VMList{Version: 4, VMs: []fulmarplatform.VM{{ID: "vm"}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		fleet.PollVMs(ctx)
+	}()
+	<-platform.polled
+	cancel()
+	<-done
+	c.Assert(fleet.View().VMs().Version, qt.Equals, int64(4))
+	c.Assert(fleet.View().VMs().VMs, qt.HasLen, 1)
+}
--- a/internal/fulmarfleet/view.go
+++ b/internal/fulmarfleet/view.go
@@ -95,7 +95,6 @@
 	// missing holds the live VMs that have disappeared from the list, by ID.
 	missing              map[string]missingVM
 	lastPlatformResponse fulmarclock.Millis
-	platformResponded    bool
 }
 
 // Record returns the newest known configuration; generation zero means none.
@@ -125,9 +124,6 @@
 // LastPlatformResponse returns when the platform last responded to a watch.
 func (v *View) LastPlatformResponse() fulmarclock.Millis { return v.lastPlatformResponse }
 
-// HasPlatformResponded reports whether the platform has ever responded to a watch.
-func (v *View) HasPlatformResponded() bool { return v.platformResponded }
-
 // Members returns the registered members in order of name.
 func (v *View) Members() []Member {
 	members := make([]Member, 0, len(v.members))
--- a/internal/fulmarqueue/queue.go
+++ b/internal/fulmarqueue/queue.go
@@ -60,8 +60,16 @@
 // SetBounds replaces the bounds; requests already waiting stay in the queue.
 func (q *Queue[T]) SetBounds(bounds Bounds) { q.bounds = bounds }
 
-// SetTeam sets a team's quota.
-func (q *Queue[T]) SetTeam(name string, quota TeamQuota) { q.getOrAddTeam(name).quota = quota }
+// SetQuotas sets the quotas of all teams. A team without one gets the zero quota.
+func (q *Queue[T]) SetQuotas(quotas map[string]TeamQuota) {
+	for name, t := range q.teams {
+		t.quota = quotas[name]
+		q.dropIfUnused(t)
+	}
+	for name, quota := range quotas {
+		q.getOrAddTeam(name).quota = quota
+	}
+}
 
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return q.waiting }
--- a/internal/fulmarqueue/queue_test.go
+++ b/internal/fulmarqueue/queue_test.go
@@ -51,8 +51,7 @@
 func TestTeamsShareByWeight(t *testing.T) {
 	c := qt.New(t)
 	queue := newQueue(1000, 1)
-	queue.SetTeam("heavy", fulmarqueue.TeamQuota{Weight: 3})
-	queue.SetTeam("light", fulmarqueue.TeamQuota{Weight: 1})
+	queue.SetQuotas(map[string]fulmarqueue.TeamQuota{"heavy": {Weight: 3}, "light": {Weight: 1}})
 	for range 400 {
 		queue.Push(3, "heavy", fulmarapi.Normal)
 		queue.Push(1, "light", fulmarapi.Normal)
@@ -71,7 +70,7 @@
 func TestTeamAtQuotaWaits(t *testing.T) {
 	c := qt.New(t)
 	queue := newQueue(10, 1)
-	queue.SetTeam("a", fulmarqueue.TeamQuota{Weight: 1, MaxRunning: 1})
+	queue.SetQuotas(map[string]fulmarqueue.TeamQuota{"a": {Weight: 1, MaxRunning: 1}})
 	queue.Push(1, "a", fulmarapi.Normal)
 	queue.Push(2, "a", fulmarapi.Normal)
 	first, found := queue.Pop()
@@ -84,6 +83,22 @@
 	c.Assert(second.Value(), qt.Equals, 2)
 }
 
+// TestRemovedQuotaNoLongerApplies removes the quota of a team that has a running and a
+// waiting request.
+func TestRemovedQuotaNoLongerApplies(t *testing.T) {
+	c := qt.New(t)
+	queue := newQueue(10, 1)
+	queue.SetQuotas(map[string]fulmarqueue.TeamQuota{"a": {Weight: 1, MaxRunning: 1}})
+	queue.Push(1, "a", fulmarapi.Normal)
+	queue.Push(2, "a", fulmarapi.Normal)
+	_, found := queue.Pop()
+	c.Assert(found, qt.IsTrue)
+	queue.SetQuotas(nil)
+	second, found := queue.Pop()
+	c.Assert(found, qt.IsTrue)
+	c.Assert(second.Value(), qt.Equals, 2)
+}
+
 // TestEachRequestLeavesQueueOnce applies random operations and checks that each
 // request leaves the queue exactly once, by Pop or Remove.
 func TestEachRequestLeavesQueueOnce(t *testing.T) {
