Scheduler: repeat starts and stops at an unlisted executor that responds

Cause: checkExecutor returned early for an executor whose entry is missing in the store. While it responds its lease is renewed, so its tasks stay bound to it: a start whose result was lost left the job waiting for good, and a run of a cancelled job went on after a lost stop.

Change: only failed renewals prevent the repetition. Besides, fields and a map that were written and never read are gone, and storing a wave's state no longer delays the end of a term by its retry delay.

--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -205,6 +205,9 @@
 			return
 		}
 		t.options.Logger.Warn("storing the state of a wave failed; retrying", "wave", c.Wave, "error", err)
-		<-t.options.Clock.After(reportRetryDelay)
+		select {
+		case <-ctx.Done():
+		case <-t.options.Clock.After(reportRetryDelay):
+		}
 	}
 }
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -245,7 +245,6 @@
 	t.confirmedAt, t.startSentAt, t.runningSince, t.startsSent, t.progress = 0, 0, 0, 0, 0
 	t.stopping, t.stopSentAt, t.stopConfirmedAt, t.speed = false, 0, 0, fullPercent
 	t.moving, t.movingJournaled = false, false
-	t.waitingSince = s.now
 	t.state = taskWaiting
 	if t.job.state.IsFinal() {
 		t.state = taskDone
@@ -279,21 +278,19 @@
 }
 
 // checkExecutor ends the placements on an unresponsive executor once its lease has expired,
-// retries commands that had no effect, and moves long-running tasks off a draining executor.
+// retries commands that had no effect, and moves long-running tasks off a draining executor. It
+// retries commands also at an executor that is no longer listed: its tasks are bound to it while
+// it responds.
 func (s *Scheduler) checkExecutor(e *executor) {
 	if e.retired {
 		return
 	}
 	s.recordUnresponsive(e)
 	if e.failedRenewals > 0 || !e.listed {
-		if s.now > e.leasesEndBy+expiryMargin && len(e.tasks) > 0 {
-			for _, t := range sortedTasks(e) {
-				s.endPlacement(t, "the lease of its executor has expired")
-			}
-		}
-		if !e.listed && len(e.tasks) == 0 {
-			s.deleteIfUnused(e)
-		}
+		s.endExpiredPlacements(e)
+		s.deleteIfUnused(e)
+	}
+	if e.failedRenewals > 0 {
 		return
 	}
 	if e.info.Draining {
@@ -304,6 +301,16 @@
 	}
 }
 
+// endExpiredPlacements ends the placements on an executor once its lease has expired.
+func (s *Scheduler) endExpiredPlacements(e *executor) {
+	if s.now <= e.leasesEndBy+expiryMargin {
+		return
+	}
+	for _, t := range sortedTasks(e) {
+		s.endPlacement(t, "the lease of its executor has expired")
+	}
+}
+
 // retryCommand sends the stop of a moving task whose move the journal holds, and repeats stops and
 // starts that had no result or could not be sent before.
 func (s *Scheduler) retryCommand(e *executor, t *task) {
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -58,8 +58,6 @@
 	recentLoad float64
 	// speed is the limit on a best-effort task, in percent of full speed.
 	speed int
-	// waitingSince is when the last placement ended.
-	waitingSince fulmarclock.Millis
 }
 
 // isAvailable reports whether a long-running task is fully working, as far as the scheduler knows;
--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -34,9 +34,8 @@
 
 // vmMove is a move of a VM to another pool.
 type vmMove struct {
-	vm   string
-	to   string
-	from string
+	vm string
+	to string
 	// journaled means that the journal holds the move.
 	journaled   bool
 	chosenAt    fulmarclock.Millis
@@ -48,9 +47,8 @@
 	// finished moves have no further effect. Their record is kept until TakeoverDelay has passed,
 	// so that a later owner does not send a command for the VM too soon. removing means that the
 	// record is being deleted.
-	finished   bool
-	finishedAt fulmarclock.Millis
-	removing   bool
+	finished bool
+	removing bool
 }
 
 // moveRecord is the journal record of a move.
@@ -171,7 +169,7 @@
 	if vm == "" || s.rejectedMoves[vm+" "+to] || s.isMoving(vm) || s.awaitsPreviousOwner(vm) {
 		return false
 	}
-	m := &vmMove{vm: vm, from: from, to: to, chosenAt: s.now}
+	m := &vmMove{vm: vm, to: to, chosenAt: s.now}
 	if e != nil {
 		m.oldExecutor, m.oldIncarnation = e.info.ID, e.info.Incarnation
 		e.cordoned = true
@@ -226,7 +224,7 @@
 }
 
 func (s *Scheduler) finishMove(m *vmMove, reason string) {
-	m.finished, m.finishedAt = true, s.now
+	m.finished = true
 	s.log.Log("VM move ended", "vm", m.vm, "to", m.to, "why", reason, "took_ms", s.now-m.chosenAt)
 	for _, e := range s.allExecutors() {
 		if e.info.VM == m.vm && !e.retired && !s.isInMaintenance(m.vm) {
--- a/internal/fulmarsched/poolsize.go
+++ b/internal/fulmarsched/poolsize.go
@@ -76,13 +76,11 @@
 // countVMs counts the VMs that each pool has, those that are moving to it included, and collects
 // the idle executors and standby VMs.
 func (s *Scheduler) countVMs(byName map[string]*poolSize) {
-	listed := map[string]bool{}
 	for _, e := range s.allExecutors() {
 		p := byName[e.info.Service]
 		if !e.listed || e.retired || p == nil {
 			continue
 		}
-		listed[e.info.VM] = true
 		if s.isMoving(e.info.VM) || !e.isSchedulable(s.now) {
 			continue
 		}
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -67,6 +67,10 @@
 	losesResult  func(n int) bool
 	commandDelay func(n int) fulmarclock.Millis
 	commandCount int
+	// losesNext reports whether to lose the result of a command, if that of no earlier one was;
+	// lostCommands counts these results.
+	losesNext    func(c Command) bool
+	lostCommands int
 	// check is called in each step after the due events and before the scheduler's decisions.
 	check func()
 	// adviceAllows reports whether the placement advisor allows an executor.
@@ -283,7 +287,7 @@
 func (s *simulation) execute(c Command) {
 	s.commandCount++
 	n, owner := s.commandCount, s.generation
-	lost := s.losesResult(n)
+	lost := s.losesResult(n) || s.losesNextResult(c)
 	respond := func(at fulmarclock.Millis, do func()) {
 		s.events = append(s.events, event{at: at, run: func() {
 			if owner == s.generation {
@@ -328,6 +332,18 @@
 	}
 }
 
+// loseNextResult loses the result of the next command that matches.
+func (s *simulation) loseNextResult(matches func(c Command) bool) { s.losesNext = matches }
+
+func (s *simulation) losesNextResult(c Command) bool {
+	if s.losesNext == nil || !s.losesNext(c) {
+		return false
+	}
+	s.losesNext = nil
+	s.lostCommands++
+	return true
+}
+
 func (s *simulation) executeStart(c StartCommand, n int, lost bool, respond func(fulmarclock.Millis, func())) {
 	e := s.executorOf(c.Target)
 	if !e.alive || e.unresponsive {
