Tests and rig: checks that miss faults

- The check of timedOut could not fail, as the load had no completion timeout; it has one now, and a test shows that a job without completion is counted.
- The soak's blackhole dropped the one block that was read and forwarded the rest of the stream, which no network does.
It now silences each connection with traffic for good; one way delivers the data late.
- The end of one of two overlapping faults of a kind ended both; proxies, store outages and pauses now end with the last.
- The log writer counted a failed write as one line; it counts each line.

--- a/internal/fulmarbench/jobs_test.go
+++ b/internal/fulmarbench/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +17,21 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarstandin/fulmarrig"
 )
 
+// completionLimit is far longer than any job of these tests takes, also on a busy machine.
+const completionLimit = 2 * time.Minute
+
+// TestJobWithoutCompletionTimesOut submits a job to a member that accepts it and never completes it.
+func TestJobWithoutCompletionTimesOut(t *testing.T) {
+	member := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"state":"running"}`)) }))
+	defer member.Close()
+	callers := &jobCallers{
+		load: JobLoad{TasksPerJob: 1, CompletionTimeout: 2 * jobPollInterval}, client: newClient(), result: newJobResult(),
+		targets: []string{member.Listener.Addr().String()},
+	}
+	callers.runJob(context.Background(), 0, "00000000000000aa", 0, 100)
+	quicktest.Assert(t, callers.result.timedOut, quicktest.Equals, 1)
+}
+
 // TestEveryTaskCompletesOnceDespiteFaults runs complete members against the simulated
 // platform. Every accepted job must complete and no task may run again after its completion,
 // whichever fault is injected meanwhile.
@@ -50,7 +66,7 @@
 			defer fleet.close()
 			quicktest.Assert(t, err, quicktest.IsNil)
 			fleet.mustAwaitOwner()
-			load := JobLoad{Queues: 1, Rate: 10, TasksPerJob: 4, Duration: 3 * time.Second, Seed: 1}
+			load := JobLoad{Queues: 1, Rate: 10, TasksPerJob: 4, Duration: 3 * time.Second, Seed: 1, CompletionTimeout: completionLimit}
 			var injection sync.WaitGroup
 			injection.Go(func() {
 				time.Sleep(load.Duration / 3)
--- a/internal/fulmarnode/logwriter.go
+++ b/internal/fulmarnode/logwriter.go
@@ -1,6 +1,7 @@
 package fulmarnode
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -45,7 +46,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of dropped lines and failed writes.
+// Dropped returns the number of lines that were dropped or could not be written.
 func (w *LogWriter) Dropped() int64 { return w.dropped.Load() }
 
 // Close writes the buffered lines and waits until that is done.
@@ -73,7 +74,7 @@
 	if len(lines) == 0 {
 		return
 	}
-	if _, err := w.out.Write(lines); err != nil {
-		w.dropped.Add(1)
+	if n, err := w.out.Write(lines); err != nil {
+		w.dropped.Add(int64(bytes.Count(lines[n:], []byte("\n"))))
 	}
 }
--- a/internal/fulmarsoak/fault_test.go
+++ b/internal/fulmarsoak/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,12 +37,35 @@
 // proxyFault returns a fault that sets the mode of one proxy until it ends.
 func proxyFault(name string, m mode, choose func(s *soak) *proxy) fault {
 	return fault{name, func(s *soak) func() {
-		p := choose(s)
-		p.setMode(m)
-		return func() { p.setMode(forwarding) }
+		return choose(s).begin(m)
 	}}
 }
 
+// overlap counts the faults of one kind in progress, of which the last one to end stops the effect.
+type overlap struct {
+	mu    sync.Mutex
+	count int
+}
+
+// begin starts a fault and returns a function that ends it. start is called for the first fault
+// in progress, stop after the last one.
+func (o *overlap) begin(start, stop func()) (end func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.count == 0 {
+		start()
+	}
+	o.count++
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.count--
+		if o.count == 0 {
+			stop()
+		}
+	}
+}
+
 func randomStoreProxy(s *soak) *proxy { return s.randomMember().storeProxy }
 
 func randomFleetProxy(s *soak) *proxy { return s.randomMember().fleetProxy }
@@ -59,8 +83,7 @@
 	signalFault("reload", syscall.SIGHUP),
 	{"pause", func(s *soak) func() {
 		m := s.randomMember()
-		m.signal(syscall.SIGSTOP)
-		return func() { m.signal(syscall.SIGCONT) }
+		return m.pauses.begin(func() { m.signal(syscall.SIGSTOP) }, func() { m.signal(syscall.SIGCONT) })
 	}},
 	{"kill all", func(s *soak) func() {
 		for _, m := range s.members {
@@ -84,8 +107,7 @@
 		return func() {}
 	}},
 	{"store down", func(s *soak) func() {
-		s.rig.SetStoreDown(true)
-		return func() { s.rig.SetStoreDown(false) }
+		return s.storeOutages.begin(func() { s.rig.SetStoreDown(true) }, func() { s.rig.SetStoreDown(false) })
 	}},
 	{"VM crash", func(s *soak) func() {
 		if vms := s.rig.VMs("work"); len(vms) > 0 {
--- a/internal/fulmarsoak/member_test.go
+++ b/internal/fulmarsoak/member_test.go
@@ -21,6 +21,7 @@
 	callerAddress string
 	storeProxy    *proxy
 	fleetProxy    *proxy
+	pauses        overlap
 
 	mu      sync.Mutex
 	process *os.Process
@@ -103,8 +104,8 @@
 // clearFaults resumes the process and ends the faults of the member's proxies.
 func (m *member) clearFaults() {
 	m.signal(syscall.SIGCONT)
-	m.storeProxy.setMode(forwarding)
-	m.fleetProxy.setMode(forwarding)
+	m.storeProxy.clearFaults()
+	m.fleetProxy.clearFaults()
 }
 
 // close kills the process, waits until it has exited and closes the proxies.
--- a/internal/fulmarsoak/proxy_test.go
+++ b/internal/fulmarsoak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,9 +14,12 @@
 const (
 	forwarding mode = iota
 	delayed
-	// blackhole keeps connections open and forwards nothing.
+	// blackhole silences each connection with traffic for good: it stays open, but no byte
+	// passes any more, as when a network device has dropped its state. Later connections
+	// are silenced too until the fault ends.
 	blackhole
-	// oneWay forwards data to the target and none back.
+	// oneWay forwards data to the target. Data from it arrives when the fault ends, as after
+	// retransmission.
 	oneWay
 )
 
@@ -29,10 +33,11 @@
 type proxy struct {
 	listener net.Listener
 	target   string
-	mode     atomic.Int32
 	affected *atomic.Int64
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// modes are the modes of the faults in progress, in the order of their starts. The last one applies.
+	modes       []*mode
 	connections map[net.Conn]bool
 	goroutines  sync.WaitGroup
 }
@@ -50,11 +55,39 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-func (p *proxy) setMode(m mode) { p.mode.Store(int32(m)) }
+// begin starts a fault and returns a function that ends it, but none of the others in progress.
+func (p *proxy) begin(m mode) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	started := &m
+	p.modes = append(p.modes, started)
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.modes = slices.DeleteFunc(p.modes, func(other *mode) bool { return other == started })
+	}
+}
+
+// clearFaults ends all faults.
+func (p *proxy) clearFaults() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.modes = nil
+}
+
+// mode returns the mode that applies now.
+func (p *proxy) mode() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.modes) == 0 {
+		return forwarding
+	}
+	return *p.modes[len(p.modes)-1]
+}
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
-	p.setMode(forwarding)
+	p.clearFaults()
 	p.reset()
 	p.goroutines.Wait()
 }
@@ -87,13 +120,15 @@
 		p.mu.Lock()
 		p.connections[c], p.connections[target] = true, true
 		p.mu.Unlock()
-		p.goroutines.Go(func() { p.forward(c, target, true) })
-		p.goroutines.Go(func() { p.forward(target, c, false) })
+		silenced := &atomic.Bool{}
+		p.goroutines.Go(func() { p.forward(c, target, silenced, true) })
+		p.goroutines.Go(func() { p.forward(target, c, silenced, false) })
 	}
 }
 
-// forward copies one direction of a connection until either side closes it.
-func (p *proxy) forward(from, to net.Conn, toTarget bool) {
+// forward copies one direction of a connection until either side closes it. silenced belongs
+// to both directions.
+func (p *proxy) forward(from, to net.Conn, silenced *atomic.Bool, toTarget bool) {
 	defer func() {
 		_ = from.Close()
 		_ = to.Close()
@@ -104,7 +139,7 @@
 	buffer := make([]byte, proxyBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && p.applyMode(toTarget) {
+		if n > 0 && p.applyMode(silenced, toTarget) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -115,20 +150,23 @@
 	}
 }
 
-// applyMode applies the current mode to one block of bytes. A blackhole blocks until the mode
-// changes, so that nothing further is read from the connection, and then drops the block; so
-// does oneWay for data from the target. It returns false if the block is dropped.
-func (p *proxy) applyMode(toTarget bool) bool {
-	switch m := mode(p.mode.Load()); {
-	case m == delayed:
+// applyMode applies the current mode to one block of bytes. It returns false if the block is dropped.
+func (p *proxy) applyMode(silenced *atomic.Bool, toTarget bool) bool {
+	switch p.mode() {
+	case delayed:
 		p.affected.Add(1)
 		time.Sleep(proxyDelay)
-	case m == blackhole || m == oneWay && !toTarget:
+	case blackhole:
+		p.affected.Add(1)
+		silenced.Store(true)
+	case oneWay:
+		if toTarget {
+			break
+		}
 		p.affected.Add(1)
-		for mode(p.mode.Load()) == m {
+		for p.mode() == oneWay {
 			time.Sleep(proxyPollInterval)
 		}
-		return false
 	}
-	return true
+	return !silenced.Load()
 }
--- a/internal/fulmarsoak/soak_test.go
+++ b/internal/fulmarsoak/soak_test.go
@@ -66,6 +66,7 @@
 	client     *http.Client
 
 	affected        atomic.Int64
+	storeOutages    overlap
 	mu              sync.Mutex
 	executorProxies []*proxy
 	faultCounts     map[string]int
@@ -259,7 +260,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.executorProxies {
-		p.setMode(forwarding)
+		p.clearFaults()
 	}
 }
 
--- a/internal/fulmarstandin/fulmarrig/rig.go
+++ b/internal/fulmarstandin/fulmarrig/rig.go
@@ -188,12 +188,18 @@
 
 // FindViolations returns a description of each violated guarantee. A task must not have two
 // concurrent runs, nor a run after one whose completion was acknowledged; its run numbers
-// must increase, and the fencing tokens of its runs at one executor must not decrease. The
-// runs must be in the order of their starts.
+// must increase, and the fencing tokens of the runs at one executor must not decrease,
+// whichever tasks they belong to. The runs must be in the order of their starts.
 func FindViolations(runs []Run) []string {
 	var violations []string
 	byTask := map[string][]Run{}
+	highest := map[string]Run{}
 	for _, r := range runs {
+		if earlier, found := highest[r.Executor]; found && r.Token < earlier.Token {
+			violations = append(violations, fmt.Sprintf("fencing token decreased: %+v and %+v", earlier, r))
+		} else {
+			highest[r.Executor] = r
+		}
 		for _, earlier := range byTask[r.Task] {
 			switch {
 			case earlier.Ended == 0 || earlier.Ended > r.Started:
@@ -202,8 +208,6 @@
 				violations = append(violations, fmt.Sprintf("run started after an acknowledged completion: %+v and %+v", earlier, r))
 			case r.Number <= earlier.Number:
 				violations = append(violations, fmt.Sprintf("run number did not increase: %+v and %+v", earlier, r))
-			case r.Executor == earlier.Executor && r.Token < earlier.Token:
-				violations = append(violations, fmt.Sprintf("fencing token decreased: %+v and %+v", earlier, r))
 			}
 		}
 		byTask[r.Task] = append(byTask[r.Task], r)
