--- a/internal/fulmarowner/candidate.go
+++ b/internal/fulmarowner/candidate.go
@@ -34,12 +34,12 @@
 	SetExecutorCount(executors int)
 }
 
-// Fleet lists VMs and sends commands about them to the platform. Commands carry the
-// sending member and its fencing token.
+// Fleet lists VMs and sends commands about them to the platform. A command whose authority
+// has expired by the time it could be written fails with fulmarjob.ExpiredAuthorityError.
 type Fleet interface {
 	VMs(ctx context.Context) ([]fulmarjob.VM, error)
-	MoveVM(ctx context.Context, vm, pool, holder string, token int64) error
-	Maintain(ctx context.Context, vm string, wave int64, holder string, token int64) error
+	MoveVM(ctx context.Context, vm, pool string, authority fulmarjob.Authority) error
+	Maintain(ctx context.Context, vm string, wave int64, authority fulmarjob.Authority) error
 }
 
 // PlacementAdvisor knows which executors may run a step.
--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -33,6 +33,15 @@
 	}
 }
 
+// checkMayExecute returns an ExpiredAuthorityError if commands to executors may no longer be
+// sent. Each attempt checks it: the process may have been paused since the command was released.
+func (t *term) checkMayExecute(command string) error {
+	if t.mayExecute() {
+		return nil
+	}
+	return &fulmarjob.ExpiredAuthorityError{Call: command}
+}
+
 // start sends a start command in hedged attempts.
 func (t *term) start(ctx context.Context, c fulmarsched.StartCommand) {
 	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
@@ -40,6 +49,9 @@
 	started := t.options.Clock.Now()
 	var attempts atomic.Int32
 	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), func(attemptCtx context.Context) (fulmarjob.CommandResult, error) {
+		if err := t.checkMayExecute("start"); err != nil {
+			return fulmarjob.ResultUnknown, err
+		}
 		return t.executorsFor(attempts.Add(1)).Start(attemptCtx, c.Target.Address, c.Target.ID, c.Start)
 	}, hasResult)
 	t.recordResult("start", c.Target.ID, result, err)
@@ -57,6 +69,9 @@
 	defer cancel()
 	var attempts atomic.Int32
 	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), func(attemptCtx context.Context) (fulmarjob.CommandResult, error) {
+		if err := t.checkMayExecute("stop"); err != nil {
+			return fulmarjob.ResultUnknown, err
+		}
 		return t.executorsFor(attempts.Add(1)).Stop(attemptCtx, c.Target.Address, c.Target.ID, c.Task, c.Run, c.Token)
 	}, hasResult)
 	t.recordResult("stop", c.Target.ID, result, err)
@@ -72,6 +87,9 @@
 	var attempts atomic.Int32
 	plan := fulmarhedge.Plan{Delay: c.Wait + t.latency.Plan().Delay, MaxAttempts: maxRenewalAttempts}
 	response, err := fulmarhedge.Do(callCtx, t.options.Clock, plan, func(attemptCtx context.Context) (renewalResponse, error) {
+		if err := t.checkMayExecute("hold"); err != nil {
+			return renewalResponse{result: fulmarjob.ResultUnknown}, err
+		}
 		wait := c.Wait
 		n := attempts.Add(1)
 		if n > 1 {
@@ -120,23 +138,28 @@
 	}
 }
 
-// maintain takes a VM down for maintenance, unless the ownership may have expired. A
-// rejection because the VM is busy or the fencing token is too old is not final.
+// authority returns this term's authority for commands about VMs.
+func (t *term) authority(token int64) fulmarjob.Authority {
+	return fulmarjob.Authority{Holder: t.options.Self.Member, Token: token, IsValid: t.ownership.IsValid}
+}
+
+// isFinalRejection reports whether a retry of a command about a VM can't succeed. A rejection
+// because the VM is busy or the fencing token is too old is not final.
+func isFinalRejection(err error) bool {
+	var rejection *fulmarjob.RejectedError
+	return errors.As(err, &rejection) && rejection.Reason != "busy" && rejection.Reason != "fence"
+}
+
+// maintain takes a VM down for maintenance, unless the ownership may have expired.
 func (t *term) maintain(ctx context.Context, c fulmarsched.MaintenanceCommand) {
-	if !t.ownership.IsValid() {
-		t.options.Logger.Warn("VM maintenance not started: the ownership lease may have expired", "vm", c.VM, "wave", c.Wave)
-		return
-	}
 	callCtx, cancel := context.WithTimeout(ctx, fleetTimeout.Duration())
 	defer cancel()
-	err := t.options.Fleet.Maintain(callCtx, c.VM, c.Wave, t.options.Self.Member, c.Token)
+	err := t.options.Fleet.Maintain(callCtx, c.VM, c.Wave, t.authority(c.Token))
 	if err != nil {
 		t.options.Logger.Warn("VM maintenance not confirmed by the platform", "vm", c.VM, "wave", c.Wave, "error", err)
 		t.options.Metrics.Count("upkeep_failures", failureReason(err))
 	}
-	var rejection *fulmarjob.RejectedError
-	rejected := errors.As(err, &rejection) && rejection.Reason != "busy" && rejection.Reason != "fence"
-	t.send(maintenanceCompleted{command: c, done: err == nil, rejected: rejected})
+	t.send(maintenanceCompleted{command: c, done: err == nil, rejected: isFinalRejection(err)})
 }
 
 // advise requests placement advice for a step.
@@ -151,23 +174,16 @@
 	t.send(adviceCompleted{command: c, sent: sent, tickets: tickets, validity: validity, ok: err == nil})
 }
 
-// move moves a VM to another pool, unless the ownership may have expired. A rejection
-// because the VM is busy or the fencing token is too old is not final.
+// move moves a VM to another pool, unless the ownership may have expired.
 func (t *term) move(ctx context.Context, c fulmarsched.MoveCommand) {
-	if !t.ownership.IsValid() {
-		t.options.Logger.Warn("VM move not started: the ownership lease may have expired", "vm", c.VM, "pool", c.Pool)
-		return
-	}
 	callCtx, cancel := context.WithTimeout(ctx, fleetTimeout.Duration())
 	defer cancel()
-	err := t.options.Fleet.MoveVM(callCtx, c.VM, c.Pool, t.options.Self.Member, c.Token)
+	err := t.options.Fleet.MoveVM(callCtx, c.VM, c.Pool, t.authority(c.Token))
 	if err != nil {
 		t.options.Logger.Warn("VM move not confirmed by the platform", "vm", c.VM, "pool", c.Pool, "error", err)
 		t.options.Metrics.Count("move_failures", failureReason(err))
 	}
-	var rejection *fulmarjob.RejectedError
-	rejected := errors.As(err, &rejection) && rejection.Reason != "busy" && rejection.Reason != "fence"
-	t.send(moveCompleted{command: c, done: err == nil, rejected: rejected})
+	t.send(moveCompleted{command: c, done: err == nil, rejected: isFinalRejection(err)})
 }
 
 // listVMs lists the platform's VMs periodically until ctx is done.
--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -217,15 +219,15 @@
 	for t.failure == nil {
 		select {
 		case e := <-t.events:
-			e.apply(t, t.options.Clock.Now())
-			t.applyQueued()
+			t.guard(func() { e.apply(t, t.options.Clock.Now()) })
+			t.guard(t.applyQueued)
 		case <-timer.C:
 		case err := <-lost:
 			t.fail(err)
 		case <-stop:
 			t.stopping, stop = true, nil
 		}
-		t.advance(termCtx)
+		t.guard(func() { t.advance(termCtx) })
 		if t.stopping && !t.appending && t.failure == nil {
 			t.fail(&fulmarledger.OwnershipLostError{Cause: "the member is shutting down"})
 		}
@@ -235,6 +237,28 @@
 	t.pending = nil
 }
 
+// guard calls f, unless the term has failed. A panic in f ends the term: the scheduler's state
+// may be inconsistent, while the journal holds what the next term needs.
+func (t *term) guard(f func()) {
+	if t.failure != nil {
+		return
+	}
+	defer func() {
+		if value := recover(); value != nil {
+			t.options.Logger.Error("the scheduler panicked; resigning the ownership", "panic", value, "stack", string(debug.Stack()))
+			t.options.Metrics.Count("reigns", "panicked")
+			t.fail(&panicError{value: value})
+		}
+	}()
+	f()
+}
+
+// panicError is the failure of a term whose scheduler panicked.
+type panicError struct{ value any }
+
+// Error returns the value of the panic.
+func (e *panicError) Error() string { return fmt.Sprintf("the scheduler panicked: %v", e.value) }
+
 // respondUnknown responds to requests that may or may not be in the journal.
 func respondUnknown(pending []pendingResponse) {
 	for _, p := range pending {
--- /dev/null
+++ b/internal/fulmarowner/term_test.go
@@ -0,0 +1,250 @@
+package fulmarowner
+
+import (
+	"context"
+	"errors"
+	"math"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
+)
+
+const (
+	jobA = "00000000000000aa"
+	jobB = "00000000000000bb"
+)
+
+// noResponse blocks until the caller gives up.
+func noResponse(ctx context.Context) error {
+	<-ctx.Done()
+	return &fulmarjob.UnknownOutcomeError{Call: "call", Cause: ctx.Err()}
+}
+
+// acceptRunning submits a job and waits until its task runs.
+func (h *harness) acceptRunning(id string) {
+	h.t.Helper()
+	h.c.Assert(h.await(h.submit(id)).Outcome, quicktest.Equals, Done)
+	starts := h.executors.countStarts()
+	h.waitFor("the task runs", func() bool { return h.executors.countStarts() > starts || starts > 0 && h.isRunning(id) })
+}
+
+func (h *harness) isRunning(id string) bool {
+	h.executors.mu.Lock()
+	defer h.executors.mu.Unlock()
+	for task := range h.executors.running {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
+
+// TestRenewalsWithoutResponse loses every response to the renewals of the ownership lease.
+// The owner keeps the executors' leases for a while, as nobody else can be the owner while
+// the store is away. It must not touch VMs, and must not deny jobs it doesn't know, once the
+// lease may have expired.
+func TestRenewalsWithoutResponse(t *testing.T) {
+	h := newHarness(t)
+	owner := h.start()
+	h.acceptRunning(jobA)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobB}).Outcome, quicktest.Equals, UnknownJob)
+	h.store.script(func(s *scriptedStore) { s.beforeRenewal = noResponse })
+	h.advanceBy(testLease + 100)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobB}).Outcome, quicktest.Equals, NotOwner)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, Done)
+	moves := len(h.fleet.received())
+	owner.move(context.Background(), fulmarsched.MoveCommand{VM: "vm-0", Pool: "spare", Token: owner.ownership.Token()})
+	owner.maintain(context.Background(), fulmarsched.MaintenanceCommand{VM: "vm-0", Wave: 1, Token: owner.ownership.Token()})
+	h.c.Assert(h.fleet.received(), quicktest.HasLen, moves)
+	h.advanceBy(testMaxLease)
+	commands := len(h.executors.received())
+	owner.start(context.Background(), fulmarsched.StartCommand{Start: fulmarjob.StartRequest{Run: 9}})
+	owner.stop(context.Background(), fulmarsched.StopCommand{Run: 9})
+	owner.renewLease(context.Background(), fulmarsched.RenewCommand{})
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(h.executors.received(), quicktest.HasLen, commands)
+	h.store.script(func(s *scriptedStore) { s.beforeRenewal = nil })
+	h.waitFor("commands are sent again", func() bool { return len(h.executors.received()) > commands })
+}
+
+// TestEndedLeaseEndsTerm makes the store reject a renewal because the lease has ended.
+func TestEndedLeaseEndsTerm(t *testing.T) {
+	h := newHarness(t)
+	first := h.start()
+	h.acceptRunning(jobA)
+	h.store.ownerExpires()
+	h.store.script(func(s *scriptedStore) {
+		s.beforeRenewal = func(context.Context) error { return &fulmarjob.RejectedError{Call: "renew", Status: 410} }
+	})
+	h.waitFor("the term has ended", func() bool { return h.candidate.term.Load() != first })
+	commands := len(h.executors.received())
+	h.c.Assert(first.do(context.Background(), Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, NotOwner)
+	for _, c := range h.executors.received()[commands:] {
+		h.c.Check(c.token > first.ownership.Token(), quicktest.IsTrue, quicktest.Commentf("%+v", c))
+	}
+}
+
+// TestWokenOwnerSendsNothing suspends the VM for a minute, in which its lease expires and
+// another member takes over. Only the boot clock shows the suspension. No command of the
+// woken owner may follow, and a request it has not stored yet is not reported as stored.
+func TestWokenOwnerSendsNothing(t *testing.T) {
+	h := newHarness(t)
+	first := h.start()
+	h.acceptRunning(jobA)
+	h.store.script(func(s *scriptedStore) { s.beforeRenewal = noResponse })
+	release := h.blockCommits()
+	waiting := h.submit(jobB)
+	h.advanceBy(200)
+	h.store.script(func(s *scriptedStore) {
+		s.put(fulmarledger.OwnerKey, `{"member":"b","nonce":"other"}`)
+		s.beforeCommit = nil
+	})
+	h.bootClock.Advance(fulmarclock.Minute)
+	h.settle()
+	commands, moves := len(h.executors.received()), len(h.fleet.received())
+	release()
+	response := h.await(waiting)
+	h.c.Assert(response.Outcome, quicktest.Equals, Unknown)
+	h.waitFor("the term has ended", func() bool { return h.candidate.term.Load() == nil })
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(h.executors.received(), quicktest.HasLen, commands)
+	h.c.Assert(h.fleet.received(), quicktest.HasLen, moves)
+	h.c.Assert(first.ownership.IsValid(), quicktest.IsFalse)
+}
+
+// TestAppendWithoutResponse plays appends whose responses are lost, and appends that the store
+// refuses at first. The job must be accepted once and run once.
+func TestAppendWithoutResponse(t *testing.T) {
+	refusals := 0
+	for _, row := range []struct {
+		name   string
+		script func(s *scriptedStore)
+	}{
+		{"response lost", func(s *scriptedStore) { s.losesResponses = true }},
+		{"refused twice", func(s *scriptedStore) {
+			s.beforeCommit = func(context.Context, fulmarledger.Transaction) error {
+				if refusals++; refusals <= 2 {
+					return &fulmarjob.NotExecutedError{Call: "commit", Status: 503}
+				}
+				return nil
+			}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.start()
+			h.store.script(row.script)
+			h.c.Assert(h.await(h.submit(jobA)).Outcome, quicktest.Equals, Done)
+			h.c.Assert(h.await(h.submit(jobA)).Outcome, quicktest.Equals, Done)
+			h.waitFor("the task runs", func() bool { return h.isRunning(jobA) })
+			h.advanceBy(fulmarclock.Second)
+			h.c.Assert(h.executors.countStarts(), quicktest.Equals, 1)
+		})
+	}
+}
+
+// TestStalledAppendRefusesNewJobs leaves an append without any response. A job in it stays
+// undecided; one submitted later is refused, with a retry delay, and never runs.
+func TestStalledAppendRefusesNewJobs(t *testing.T) {
+	h := newHarness(t)
+	h.start()
+	release := h.blockCommits()
+	undecided := h.submit(jobA)
+	h.advanceBy(100)
+	refused := h.await(h.submit(jobB))
+	h.c.Assert(refused.Outcome, quicktest.Equals, Refused)
+	h.c.Assert(refused.RetryAfter >= fulmarclock.Second, quicktest.IsTrue, quicktest.Commentf("%d ms", refused.RetryAfter))
+	release()
+	h.c.Assert(h.await(undecided).Outcome, quicktest.Equals, Done)
+	h.waitFor("the stored job runs", func() bool { return h.isRunning(jobA) })
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(h.isRunning(jobB), quicktest.IsFalse)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobB}).Outcome, quicktest.Equals, UnknownJob)
+}
+
+// TestResigningWaitsForAppendInFlight stops the member while an append is in flight. The job
+// in it is answered by what the store did, the lease is revoked only after that, and the next
+// owner knows the job and doesn't start its task again.
+func TestResigningWaitsForAppendInFlight(t *testing.T) {
+	h := newHarness(t)
+	h.start()
+	h.acceptRunning(jobA)
+	release := h.blockCommits()
+	inFlight := h.submit(jobB)
+	h.advanceBy(100)
+	h.stop()
+	h.advanceBy(200)
+	h.store.script(func(s *scriptedStore) {
+		h.c.Check(s.revoked, quicktest.HasLen, 0)
+		s.beforeCommit = nil
+	})
+	release()
+	h.c.Assert(h.await(inFlight).Outcome, quicktest.Equals, Done)
+	h.waitFor("the candidate has ended", func() bool { return h.candidate.term.Load() == nil })
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, NotOwner)
+	h.replaceCandidate("b")
+	second := h.start()
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobB}).Outcome, quicktest.Equals, Done)
+	h.waitFor("the second job runs", func() bool { return h.isRunning(jobB) })
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(h.executors.countStarts(), quicktest.Equals, 2)
+	last := int64(0)
+	for _, c := range h.executors.received() {
+		h.c.Check(c.token >= last, quicktest.IsTrue, quicktest.Commentf("%+v after token %d", c, last))
+		last = c.token
+	}
+	h.c.Assert(last, quicktest.Equals, second.ownership.Token())
+}
+
+// panickingEvent stands for an input that violates an assumption of the scheduler.
+type panickingEvent struct{}
+
+func (panickingEvent) apply(*term, fulmarclock.Millis) { panic("unexpected input") }
+
+// TestPanicEndsTermOnly makes the handling of an event panic. The process must go on: the term
+// ends, its state is discarded, and the member may own the scheduler again with the state
+// from the journal.
+func TestPanicEndsTermOnly(t *testing.T) {
+	h := newHarness(t)
+	first := h.start()
+	h.acceptRunning(jobA)
+	h.c.Assert(first.send(panickingEvent{}), quicktest.IsTrue)
+	h.waitFor("another term has begun", func() bool {
+		current := h.candidate.term.Load()
+		return current != nil && current != first
+	})
+	var failure *panicError
+	h.c.Assert(errors.As(first.failure, &failure), quicktest.IsTrue)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, Done)
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(h.executors.countStarts(), quicktest.Equals, 1)
+}
+
+// TestMalformedReportsDoNoHarm adds rows of unknown and impossible tasks to the executor's
+// reports, and a malformed entry to the store.
+func TestMalformedReportsDoNoHarm(t *testing.T) {
+	h := newHarness(t)
+	h.store.script(func(s *scriptedStore) { s.put(executorPrefix+"x-bad", "malformed") })
+	first := h.start()
+	h.acceptRunning(jobA)
+	ids := []fulmarjob.TaskID{
+		{}, {Job: jobA, Step: -1}, {Job: jobA, Index: -1}, {Job: jobA, Occurrence: -1}, {Job: jobA, Step: math.MaxInt},
+		{Job: jobA, Index: math.MaxInt}, {Job: jobA, Occurrence: math.MaxInt}, {Job: "unknown", Step: 3},
+	}
+	h.executors.mu.Lock()
+	for i, id := range ids {
+		h.executors.extra = append(h.executors.extra, fulmarjob.RunningTask{Task: id, Run: math.MinInt64, ProgressPercent: -5, Measurement: math.NaN()})
+		h.executors.extraFinished = append(h.executors.extraFinished, fulmarjob.FinishedTask{Sequence: int64(i - 4), Task: id, Run: -1, Outcome: "what"})
+	}
+	h.executors.mu.Unlock()
+	commands := len(h.executors.received())
+	h.waitFor("some reports have arrived", func() bool { return len(h.executors.received()) > commands+20 })
+	h.c.Assert(h.candidate.term.Load(), quicktest.Equals, first)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobA}).State, quicktest.Equals, fulmarjob.Running)
+	h.c.Assert(h.executors.countStarts(), quicktest.Equals, 1)
+}
