Scheduler: the cost of a submission follows the pool, not the fleet

Each submission summed the backlog over the tasks of all jobs of the last two minutes, with a regression for each task, and the capacity over all executors; each plan did the like for each waiting task.

Change: occurrences count their waiting tasks, ended jobs leave the list of active ones, executors and active jobs are indexed by service, and a step beyond the most free capacity of its pool is passed over.

--- a/internal/fulmarsched/estimate.go
+++ b/internal/fulmarsched/estimate.go
@@ -5,12 +5,15 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
+// queueModelPrefix precedes a queue's name in the key of its duration model.
+const queueModelPrefix = "queue "
+
 // estimateKey groups tasks of similar duration: by image, or by queue if there is no image.
 func estimateKey(j *job, image string) string {
 	if image != "" {
 		return image
 	}
-	return "queue " + j.queue.Name
+	return j.queueModelKey
 }
 
 // estimate returns the expected duration of a task, from the duration that its caller declared and
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -65,6 +65,7 @@
 	s.executors[id] = e
 	at, _ := slices.BinarySearchFunc(s.executorList, id, compareID)
 	s.executorList = slices.Insert(s.executorList, at, e)
+	s.serviceIndex = nil
 	return e
 }
 
@@ -82,6 +83,7 @@
 	delete(s.executors, e.info.ID)
 	if at, found := slices.BinarySearchFunc(s.executorList, e.info.ID, compareID); found {
 		s.executorList = slices.Delete(s.executorList, at, at+1)
+		s.serviceIndex = nil
 	}
 }
 
@@ -120,7 +122,8 @@
 }
 
 func (e *executor) addTask(t *task) {
-	t.state, t.executor = taskPlaced, e
+	t.setState(taskPlaced)
+	t.executor = e
 	e.tasks[t.id] = t
 	e.used = e.used.Add(t.step.Reserved())
 	t.job.placedTasks++
@@ -150,6 +153,9 @@
 	if e.retired && e.info.Incarnation == info.Incarnation {
 		return
 	}
+	if e.info.Service != info.Service {
+		s.serviceIndex = nil
+	}
 	e.info, e.listed, e.retired = info, true, false
 	s.retireOlderIncarnations(e)
 	if changed {
@@ -245,9 +251,9 @@
 	t.confirmedAt, t.startSentAt, t.runningSince, t.startsSent, t.progress = 0, 0, 0, 0, 0
 	t.stopping, t.stopSentAt, t.stopConfirmedAt, t.speed = false, 0, 0, fullPercent
 	t.moving, t.movingJournaled = false, false
-	t.state = taskWaiting
+	t.setState(taskWaiting)
 	if t.job.state.IsFinal() {
-		t.state = taskDone
+		t.setState(taskDone)
 	}
 	s.markDirty(t.job)
 	s.log.Log("task placement ended", "job", t.id.Job, "step", t.id.Step, "index", t.id.Index, "run", t.run, "executor", e.info.ID, "why", reason)
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -1,6 +1,8 @@
 package fulmarsched
 
 import (
+	"slices"
+
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
@@ -17,11 +19,13 @@
 
 // task is one task of a step in an occurrence of a job.
 type task struct {
-	id  fulmarjob.TaskID
-	job *job
+	id         fulmarjob.TaskID
+	job        *job
+	occurrence *occurrence
 	// step is the description of the task.
 	step *fulmarjob.Step
 
+	// state is changed only by setState.
 	state taskState
 	// run is the number of the current or last run, attempts the number of failed runs.
 	run        int64
@@ -60,6 +64,17 @@
 	speed int
 }
 
+// setState changes the state and keeps the occurrence's number of waiting tasks up to date.
+func (t *task) setState(state taskState) {
+	if t.state == taskWaiting {
+		t.occurrence.waiting[t.id.Step]--
+	}
+	if state == taskWaiting {
+		t.occurrence.waiting[t.id.Step]++
+	}
+	t.state = state
+}
+
 // isAvailable reports whether a long-running task is fully working, as far as the scheduler knows;
 // it does not count as available while its executor is unresponsive.
 func (t *task) isAvailable() bool {
@@ -69,9 +84,11 @@
 // occurrence is one execution of a job's steps.
 type occurrence struct {
 	number int
-	// steps holds the tasks by step index, remaining the number of tasks not yet done.
+	// steps holds the tasks by step index, remaining the number of tasks not yet done, waiting the
+	// number of those that are not placed.
 	steps     [][]*task
 	remaining []int
+	waiting   []int
 }
 
 // isStepReady reports whether all steps that step i depends on are done.
@@ -84,6 +101,11 @@
 	return true
 }
 
+// isStepPlaceable reports whether step i can start and has tasks that are not placed.
+func (o *occurrence) isStepPlaceable(j *job, i int) bool {
+	return o.waiting[i] > 0 && o.isStepReady(j, i)
+}
+
 func (o *occurrence) isDone() bool {
 	for _, n := range o.remaining {
 		if n > 0 {
@@ -103,6 +125,8 @@
 	receivedAt  fulmarclock.Millis
 	deadline    fulmarclock.Millis
 	longRunning bool
+	// queueModelKey is the key of the duration model for tasks without an image.
+	queueModelKey string
 
 	state           fulmarjob.State
 	endedUnixMillis int64
@@ -126,7 +150,10 @@
 }
 
 func newJob(id string, q fulmarjob.Queue, spec fulmarjob.Specification) *job {
-	return &job{id: id, queue: q, specification: spec, longRunning: spec.IsLongRunning(), state: fulmarjob.Queued}
+	return &job{
+		id: id, queue: q, specification: spec, longRunning: spec.IsLongRunning(), state: fulmarjob.Queued,
+		queueModelKey: queueModelPrefix + q.Name,
+	}
 }
 
 // openOccurrence adds the next occurrence.
@@ -144,14 +171,16 @@
 		tasks := make([]*task, step.Count)
 		for k := range tasks {
 			tasks[k] = &task{
-				id:    fulmarjob.TaskID{Job: j.id, Occurrence: number, Step: i, Index: k},
-				job:   j,
-				step:  step,
-				speed: fullPercent,
+				id:         fulmarjob.TaskID{Job: j.id, Occurrence: number, Step: i, Index: k},
+				job:        j,
+				occurrence: o,
+				step:       step,
+				speed:      fullPercent,
 			}
 		}
 		o.steps = append(o.steps, tasks)
 		o.remaining = append(o.remaining, step.Count)
+		o.waiting = append(o.waiting, step.Count)
 	}
 	return o
 }
@@ -222,7 +251,7 @@
 		case taskPlaced:
 			s.stopRun(t)
 		case taskWaiting:
-			t.state = taskDone
+			t.setState(taskDone)
 		}
 	})
 	s.markDirty(j)
@@ -231,6 +260,25 @@
 	s.log.Log("job ended", "job", j.id, "state", state, "why", reason, "took_ms", s.now-j.receivedAt)
 }
 
+// addToLists adds a job to the lists of jobs.
+func (s *Scheduler) addToLists(j *job) {
+	s.jobs[j.id] = j
+	s.jobList = append(s.jobList, j)
+	s.activeJobs = append(s.activeJobs, j)
+	if s.serviceIndex != nil {
+		s.serviceIndex.addJob(j)
+	}
+}
+
+// dropEndedJobs removes the ended jobs from the list of active jobs.
+func (s *Scheduler) dropEndedJobs() {
+	before := len(s.activeJobs)
+	s.activeJobs = slices.DeleteFunc(s.activeJobs, func(j *job) bool { return j.state.IsFinal() })
+	if len(s.activeJobs) != before {
+		s.serviceIndex = nil
+	}
+}
+
 // removeExpiredJobs deletes the ended jobs whose state need not be kept any longer.
 func (s *Scheduler) removeExpiredJobs() {
 	limit := s.unixMillis - int64(s.params.StatusRetention+statusRetentionMargin)
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -60,16 +60,33 @@
 	slices.SortStableFunc(waiting, func(a, b *job) int { return a.rank.compare(b.rank) })
 	candidates := s.schedulableByService()
 	for _, j := range waiting {
-		if executors := candidates[j.queue.Service]; len(executors) > 0 {
-			s.placeJob(j, executors)
+		if c := candidates[j.queue.Service]; c != nil {
+			s.placeJob(j, c)
 		}
 	}
 }
 
+// candidates are the schedulable executors of a service.
+type candidates struct {
+	// executors are sorted by ID.
+	executors []*executor
+	// maxFree is the most free capacity of an executor in each resource, as of the start of the
+	// placement. It only shrinks afterwards, so that a task beyond it fits on no executor.
+	maxFree fulmarjob.Resources
+}
+
+func (c *candidates) add(e *executor) {
+	c.executors = append(c.executors, e)
+	free := e.freeCapacity()
+	c.maxFree.MilliCPU = max(c.maxFree.MilliCPU, free.MilliCPU)
+	c.maxFree.MemoryMB = max(c.maxFree.MemoryMB, free.MemoryMB)
+	c.maxFree.GPUs = max(c.maxFree.GPUs, free.GPUs)
+}
+
 // waitingJobs returns the jobs with tasks that can be placed.
 func (s *Scheduler) waitingJobs() []*job {
 	var waiting []*job
-	for _, j := range s.jobList {
+	for _, j := range s.activeJobs {
 		if !j.state.IsFinal() && j.hasTaskToPlace() {
 			waiting = append(waiting, j)
 		}
@@ -79,11 +96,8 @@
 
 func (j *job) hasTaskToPlace() bool {
 	for _, o := range j.activeOccurrences {
-		for i, tasks := range o.steps {
-			if o.remaining[i] == 0 || !o.isStepReady(j, i) {
-				continue
-			}
-			if anyWaiting(tasks) {
+		for i := range o.steps {
+			if o.isStepPlaceable(j, i) {
 				return true
 			}
 		}
@@ -91,34 +105,34 @@
 	return false
 }
 
-func anyWaiting(tasks []*task) bool {
-	return slices.ContainsFunc(tasks, func(t *task) bool { return t.state == taskWaiting })
-}
-
-// schedulableByService returns the schedulable executors of each service, sorted by ID.
-func (s *Scheduler) schedulableByService() map[string][]*executor {
-	byService := map[string][]*executor{}
-	for _, e := range s.allExecutors() {
-		if e.isSchedulable(s.now) {
-			byService[e.info.Service] = append(byService[e.info.Service], e)
+// schedulableByService returns the schedulable executors of each service that has any.
+func (s *Scheduler) schedulableByService() map[string]*candidates {
+	byService := map[string]*candidates{}
+	for _, e := range s.executorList {
+		if !e.isSchedulable(s.now) {
+			continue
 		}
-	}
-	for _, executors := range byService {
-		slices.SortFunc(executors, func(a, b *executor) int { return cmp.Compare(a.info.ID, b.info.ID) })
+		c := byService[e.info.Service]
+		if c == nil {
+			c = &candidates{}
+			byService[e.info.Service] = c
+		}
+		c.add(e)
 	}
 	return byService
 }
 
-func (s *Scheduler) placeJob(j *job, candidates []*executor) {
+func (s *Scheduler) placeJob(j *job, c *candidates) {
 	for _, o := range j.activeOccurrences {
 		for i, tasks := range o.steps {
-			if o.remaining[i] == 0 || !o.isStepReady(j, i) {
+			if !o.isStepPlaceable(j, i) {
 				continue
 			}
-			if !anyWaiting(tasks) {
+			// A step that needs advice requests it before an executor has room.
+			if !j.queue.NeedsPlacementAdvice && !j.specification.Steps[i].Reserved().FitsIn(c.maxFree) {
 				continue
 			}
-			allowed := s.allowedExecutors(j, o, i, candidates)
+			allowed := s.allowedExecutors(j, o, i, c.executors)
 			if j.specification.Steps[i].Gang {
 				s.placeGang(tasks, allowed)
 				continue
@@ -164,7 +178,7 @@
 			break
 		}
 		chosen[i].removeTask(t)
-		t.state = taskWaiting
+		t.setState(taskWaiting)
 		if complete {
 			t.checkpoint = checkpoint
 			s.placeTask(t, chosen[i], run+1)
@@ -268,8 +282,8 @@
 		return Decision{}, false
 	}
 	capacity := fulmarjob.Resources{}
-	for _, e := range s.allExecutors() {
-		if e.info.Service == j.queue.Service && e.isSchedulable(s.now) {
+	for _, e := range s.services().executors[j.queue.Service] {
+		if e.isSchedulable(s.now) {
 			capacity = capacity.Add(e.info.Capacity)
 		}
 	}
@@ -287,15 +301,25 @@
 // backlog returns the work waiting in the queues of a service, in millicore-milliseconds.
 func (s *Scheduler) backlog(service string) float64 {
 	sum := 0.0
-	for _, j := range s.jobList {
-		if j.queue.Service != service || j.state.IsFinal() || j.longRunning {
+	for _, j := range s.services().jobs[service] {
+		if j.state.IsFinal() || j.longRunning {
 			continue
 		}
-		j.eachTask(func(t *task) {
-			if t.state == taskWaiting {
-				sum += float64(t.step.Resources.MilliCPU) * float64(s.estimate(t.job, t.step))
-			}
-		})
+		for _, o := range j.activeOccurrences {
+			sum += s.waitingWork(j, o)
+		}
+	}
+	return sum
+}
+
+// waitingWork returns the work of the waiting tasks of an occurrence, in millicore-milliseconds.
+func (s *Scheduler) waitingWork(j *job, o *occurrence) float64 {
+	sum := 0.0
+	for i, waiting := range o.waiting {
+		if waiting > 0 {
+			step := &j.specification.Steps[i]
+			sum += float64(waiting) * float64(step.Resources.MilliCPU) * float64(s.estimate(j, step))
+		}
 	}
 	return sum
 }
--- a/internal/fulmarsched/poolsummary.go
+++ b/internal/fulmarsched/poolsummary.go
@@ -67,7 +67,7 @@
 			p.used = p.used.Add(e.used)
 		}
 	}
-	for _, j := range s.jobList {
+	for _, j := range s.activeJobs {
 		if j.state.IsFinal() {
 			continue
 		}
@@ -81,21 +81,15 @@
 
 // addWaiting adds the waiting tasks of an occurrence to a pool's totals.
 func (s *Scheduler) addWaiting(p *poolSummary, j *job, o *occurrence) {
-	for i, tasks := range o.steps {
+	for i, waiting := range o.waiting {
 		if o.remaining[i] == 0 {
 			continue
 		}
 		p.minExecutors = max(p.minExecutors, minExecutorsOf(&j.specification.Steps[i]))
-		waiting := 0
-		for _, t := range tasks {
-			if t.state == taskWaiting {
-				waiting++
-			}
-		}
 		p.waiting += waiting
 		step := &j.specification.Steps[i]
 		work := 0.0
-		if !step.LongRunning {
+		if !step.LongRunning && waiting > 0 {
 			work = float64(waiting) * float64(step.Resources.MilliCPU) * float64(s.estimate(j, step))
 		}
 		p.backlog += work
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -235,8 +235,7 @@
 func (s *Scheduler) restoreEndedJob(id string, value json.RawMessage) error {
 	j := newJob(id, fulmarjob.Queue{}, fulmarjob.Specification{})
 	j.recorded = true
-	s.jobs[id] = j
-	s.jobList = append(s.jobList, j)
+	s.addToLists(j)
 	return s.restoreProgress(j, value)
 }
 
@@ -265,7 +264,7 @@
 			j.started = j.started || record.Started
 			switch record.State {
 			case taskDone:
-				t.state = taskDone
+				t.setState(taskDone)
 				o.remaining[i]--
 			case taskPlaced:
 				s.restorePlacement(t, record)
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -207,9 +207,8 @@
 
 // markTaskDone marks a task as done, and its occurrence and job if this was their last task.
 func (s *Scheduler) markTaskDone(t *task) {
-	t.state = taskDone
-	j := t.job
-	o := j.findOccurrence(t.id.Occurrence)
+	t.setState(taskDone)
+	j, o := t.job, t.occurrence
 	o.remaining[t.id.Step]--
 	s.markDirty(j)
 	if t.step.Gang && o.remaining[t.id.Step] > 0 {
@@ -234,7 +233,7 @@
 			m.executor.idleSince = s.now
 			m.executor.removeTask(m)
 		}
-		m.state = taskDone
+		m.setState(taskDone)
 		o.remaining[step]--
 	}
 }
--- /dev/null
+++ b/internal/fulmarsched/scale_test.go
@@ -0,0 +1,105 @@
+package fulmarsched
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// fleetSizes are the numbers of VMs of the fleets in the benchmarks.
+var fleetSizes = []int{48, 350, 542, 3000, 8800}
+
+// vmsPerService is the number of VMs in a pool of the benchmarks: larger fleets have more pools.
+const vmsPerService = 70
+
+// newLoadedScheduler returns a scheduler with VMs in pools, and with jobs of each queue that ended
+// and that wait.
+func newLoadedScheduler(vms, endedPerQueue, waitingPerQueue int) *Scheduler {
+	s := New(1000, testParameters, 1, discardLogger{})
+	configuration := &fulmarjob.Configuration{Version: 1}
+	for service := range max(vms/vmsPerService, 1) {
+		name := fmt.Sprint("service-", service)
+		configuration.Services = append(configuration.Services, fulmarjob.Service{Name: name})
+		configuration.Queues = append(configuration.Queues, fulmarjob.Queue{
+			Name: "queue-" + name, Service: name, MaxAttempts: 3, SlackFactor: 1.6, TargetLatency: 600,
+		})
+	}
+	s.SetConfiguration(1000, configuration)
+	for i := range vms {
+		s.UpdateExecutor(1000, fulmarjob.Executor{
+			ID: fmt.Sprint("x-", i), Service: configuration.Services[i%len(configuration.Services)].Name, VM: fmt.Sprint("vm-", i),
+			Incarnation: 1, Capacity: fulmarjob.Resources{MilliCPU: 16000, MemoryMB: 64000},
+		})
+	}
+	for _, e := range s.executorList {
+		e.tokenAccepted, e.used.MilliCPU = true, e.info.Capacity.MilliCPU-1500
+	}
+	for q := range configuration.Queues {
+		for i := range endedPerQueue + waitingPerQueue {
+			id := fmt.Sprintf("%08x%08x", q+1, i)
+			s.addJob(loadedJob(s, id, q))
+			s.openOccurrences(s.jobs[id])
+			if i < endedPerQueue {
+				s.endJob(s.jobs[id], fulmarjob.Cancelled, "")
+			}
+		}
+	}
+	s.Plan(1000, 1000, nil)
+	return s
+}
+
+func loadedJob(s *Scheduler, id string, queue int) *job {
+	j := newJob(id, s.configuration.Queues[queue], fulmarjob.Specification{Payload: id, Steps: loadedSteps})
+	j.receivedAt = s.now
+	return j
+}
+
+// loadedSteps are two steps of tasks that are too large for what is free.
+var loadedSteps = []fulmarjob.Step{
+	{Count: 8, Resources: fulmarjob.Resources{MilliCPU: 3100, MemoryMB: 1000}, EstimatedDuration: 640},
+	{Count: 8, Resources: fulmarjob.Resources{MilliCPU: 3100, MemoryMB: 1000}, EstimatedDuration: 640, DependsOn: []int{0}},
+}
+
+// BenchmarkSubmit submits jobs to a pool whose backlog is too large for them, as in a burst.
+func BenchmarkSubmit(b *testing.B) {
+	for _, vms := range fleetSizes {
+		b.Run(fmt.Sprint(vms, " VMs"), func(b *testing.B) {
+			s := newLoadedScheduler(vms, 400, 150)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				d := s.Submit(1000, 1000, Submission{ID: fmt.Sprintf("ffff%012x", i), Queue: s.configuration.Queues[0], Specification: fulmarjob.Specification{Steps: loadedSteps}})
+				if d.Outcome != OutcomeRefused {
+					b.Fatal("the job was not refused")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick runs the time-driven work while many jobs wait.
+func BenchmarkTick(b *testing.B) {
+	for _, vms := range fleetSizes {
+		b.Run(fmt.Sprint(vms, " VMs"), func(b *testing.B) {
+			s := newLoadedScheduler(vms, 400, 150)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s.Tick(1000+fulmarclock.Millis(i), 1000)
+			}
+		})
+	}
+}
+
+// BenchmarkPlan plans batches while many jobs wait and none of their tasks fits.
+func BenchmarkPlan(b *testing.B) {
+	for _, vms := range fleetSizes {
+		b.Run(fmt.Sprint(vms, " VMs"), func(b *testing.B) {
+			s := newLoadedScheduler(vms, 400, 150)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Plan(1000, 1000, nil)
+			}
+		})
+	}
+}
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -66,8 +66,13 @@
 	configuration *fulmarjob.Configuration
 	jobs          map[string]*job
 	// jobList holds the same jobs, in the order of their arrival.
-	jobList   []*job
-	executors map[string]*executor
+	jobList []*job
+	// activeJobs holds the jobs that have not ended, in the same order. A job that has ended stays
+	// until the next Tick.
+	activeJobs []*job
+	// serviceIndex is nil while it is out of date.
+	serviceIndex *serviceIndex
+	executors    map[string]*executor
 	// executorList holds the same executors, sorted by ID.
 	executorList []*executor
 	waves        map[int64]*wave
@@ -126,7 +131,7 @@
 	if s.configuration != nil && c.Version < s.configuration.Version {
 		return
 	}
-	s.configuration = c
+	s.configuration, s.serviceIndex = c, nil
 	for _, j := range s.jobList {
 		if q, found := c.QueueByName(j.queue.Name); found {
 			j.queue = q
@@ -142,7 +147,8 @@
 	for _, e := range s.allExecutors() {
 		s.checkExecutor(e)
 	}
-	for _, j := range s.jobList {
+	s.dropEndedJobs()
+	for _, j := range s.activeJobs {
 		s.openOccurrences(j)
 	}
 	s.removeExpiredJobs()
--- a/internal/fulmarsched/submission.go
+++ b/internal/fulmarsched/submission.go
@@ -60,8 +60,7 @@
 
 // addJob adds a job and sets its deadline.
 func (s *Scheduler) addJob(j *job) {
-	s.jobs[j.id] = j
-	s.jobList = append(s.jobList, j)
+	s.addToLists(j)
 	j.deadline = j.receivedAt + j.queue.TargetLatency + fulmarclock.Millis(j.queue.SlackFactor*float64(s.criticalPath(j, nil)))
 }
 
@@ -82,6 +81,8 @@
 	isWithdrawn := func(other *job) bool { return other == j }
 	delete(s.jobs, id)
 	s.jobList = slices.DeleteFunc(s.jobList, isWithdrawn)
+	s.activeJobs = slices.DeleteFunc(s.activeJobs, isWithdrawn)
+	s.serviceIndex = nil
 	s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, isWithdrawn)
 	s.deleteAdvice(j)
 	s.log.Log("job withdrawn", "job", id, "queue", j.queue.Name, "waited_ms", now-j.receivedAt)
@@ -118,7 +119,7 @@
 // PendingJobs returns the number of jobs in a queue that have not started.
 func (s *Scheduler) PendingJobs(queue string) int {
 	count := 0
-	for _, j := range s.jobList {
+	for _, j := range s.activeJobs {
 		if j.queue.Name == queue && !j.started && !j.state.IsFinal() {
 			count++
 		}
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -322,7 +322,8 @@
 	if t.step.HasMaxUnavailable && unavailable >= t.step.MaxUnavailable {
 		return false
 	}
-	return chooseExecutor(t, members, s.schedulableByService()[t.job.queue.Service]) != nil
+	c := s.schedulableByService()[t.job.queue.Service]
+	return c != nil && chooseExecutor(t, members, c.executors) != nil
 }
 
 // HandleMaintenanceResult applies the platform's result of a maintenance command: confirmed,
