Requests to the owner: a slow response no longer cancels the others; shed early

Cause: when one request to the owner timed out (1.2 s), the member closed the connection that all its requests share.

Change: a connection is closed only if no response has arrived on it since the request that timed out was sent. The owner sheds submissions that have waited for the scheduler for over 100 ms; a member that sees most of its submissions shed or unanswered refuses a share of them at once (429, reason owner-busy). The delay between attempts doubles up to 160 ms.

--- a/internal/fulmarfront/router.go
+++ b/internal/fulmarfront/router.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
+	"errors"
+	"math/rand/v2"
 
 	"github.com/charmbracelet/log"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
@@ -26,7 +25,13 @@
 	// unknownOutcomeTimeout replaces noOwnerTimeout for a request that may have been executed: only an
 	// owner can determine whether it was.
 	unknownOutcomeTimeout = 2500 * fulmarclock.Millis(1)
-	retryInterval         = 40 * fulmarclock.Millis(1)
+	// The delay between two attempts doubles from minRetryDelay to maxRetryDelay.
+	minRetryDelay = 40 * fulmarclock.Millis(1)
+	maxRetryDelay = 160 * fulmarclock.Millis(1)
+	// reasonOwnerBusy is the reason of the submissions that are refused without asking the
+	// owner, busyRetryAfter their retry delay.
+	reasonOwnerBusy = "owner-busy"
+	busyRetryAfter  = fulmarclock.Second
 )
 
 // Candidate is this member's participation in the election of the scheduler's owner.
@@ -48,32 +53,45 @@
 	metrics     Metrics
 	selfAddress string
 
-	mu               sync.Mutex
-	connectedAddress string
-	connection       *grpc.ClientConn
+	connections *ownerConnections
+	throttle    *throttle
 }
 
 // NewRouter returns a router for the member with the peer address self.
 func NewRouter(candidate Candidate, clock fulmarclock.Clock, logger *log.Logger, metrics Metrics, self string) *Router {
-	return &Router{candidate: candidate, clock: clock, logger: logger, metrics: metrics, selfAddress: self}
+	return &Router{
+		candidate: candidate, clock: clock, logger: logger, metrics: metrics, selfAddress: self,
+		connections: newOwnerConnections(clock, logger), throttle: newThrottle(rand.Float64),
+	}
 }
 
 // Close closes the connection to the owner.
-func (r *Router) Close() { r.disconnect(nil) }
+func (r *Router) Close() { r.connections.close() }
 
 // Do sends a request to the owner and retries it until an owner responds, ctx ends, or
 // noOwnerTimeout has passed; unknownOutcomeTimeout once an attempt may have been executed.
 //
+// While the owner sheds or does not answer most submissions, a part of them is refused here
+// at once, so that the owner's CPU time goes to the ones that it can accept.
+//
 // Once an attempt has an unknown outcome, a refusal by the same owner does not prove
 // that the request was not executed, and the outcome stays Unknown. A refusal by a later
 // owner, one with a higher token, proves it: that owner has read everything its
 // predecessors stored, and they can store nothing more.
 func (r *Router) Do(ctx context.Context, q fulmarowner.Request) fulmarowner.Response {
 	start := r.clock.Now()
-	timeout := noOwnerTimeout
+	if q.Kind == fulmarowner.Submit && !r.throttle.allows(start) {
+		r.metrics.Count("refusals", reasonOwnerBusy)
+		return fulmarowner.Response{Outcome: fulmarowner.Refused, Reason: reasonOwnerBusy, RetryAfter: busyRetryAfter}
+	}
+	timeout, delay := noOwnerTimeout, minRetryDelay
 	outcomeUnknown, unknownToken := false, int64(0)
 	for {
 		response := r.attempt(ctx, q)
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			// An attempt that ended because its caller left says nothing about the owner.
+			r.throttle.record(r.clock.Now(), response)
+		}
 		switch response.Outcome {
 		case fulmarowner.Done, fulmarowner.UnknownJob:
 			return response
@@ -94,8 +112,9 @@
 		select {
 		case <-ctx.Done():
 		case <-r.candidate.OwnerChanged():
-		case <-r.clock.After(retryInterval):
+		case <-r.clock.After(delay):
 		}
+		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
@@ -113,7 +132,7 @@
 	if !known || owner.PeerAddress == r.selfAddress {
 		return r.candidate.Do(ctx, q)
 	}
-	connection, err := r.connect(owner.PeerAddress)
+	connection, err := r.connections.connect(owner.PeerAddress)
 	if err != nil {
 		r.logger.Warn("invalid peer address of the owner; retrying", "owner", owner.Member, "address", owner.PeerAddress, "error", err)
 		return fulmarowner.Response{Outcome: fulmarowner.NotOwner}
@@ -127,14 +146,16 @@
 		r.logger.Error("failed to encode a request to the owner; retrying", "job", q.Job, "error", err)
 		return fulmarowner.Response{Outcome: fulmarowner.NotOwner}
 	}
-	message, err := fulmarfrontpb.NewOwnerClient(connection).Ask(attemptCtx, request)
+	sentAt := r.clock.Now()
+	message, err := connection.client.Ask(attemptCtx, request)
 	if err != nil {
 		r.logger.Warn("request to the owner failed", "owner", owner.Member, "job", q.Job, "sent", sent.isSet(), "error", err)
-		if status.Code(err) == codes.DeadlineExceeded {
-			r.disconnect(connection)
+		if status.Code(err) == codes.DeadlineExceeded && connection.isSilentSince(sentAt) {
+			r.connections.replace(connection)
 		}
 		return failedAttempt(owner, sent)
 	}
+	connection.recordResponse(r.clock.Now())
 	return decodeResponse(message)
 }
 
@@ -147,70 +168,6 @@
 	return fulmarowner.Response{Outcome: fulmarowner.Unknown, Token: owner.Revision}
 }
 
-// connect returns the connection to an address. It replaces one to another address.
-func (r *Router) connect(address string) (*grpc.ClientConn, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.connection != nil && r.connectedAddress == address {
-		return r.connection, nil
-	}
-	if r.connection != nil {
-		r.closeConnection()
-	}
-	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithStatsHandler(sentFlagHandler{}))
-	if err != nil {
-		return nil, err
-	}
-	r.connectedAddress, r.connection = address, connection
-	return connection, nil
-}
-
-// disconnect closes the current connection if it is the given one, or in any case if
-// that is nil. The next request opens a new one.
-func (r *Router) disconnect(connection *grpc.ClientConn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.connection != nil && (connection == nil || r.connection == connection) {
-		r.closeConnection()
-	}
-}
-
-func (r *Router) closeConnection() {
-	if err := r.connection.Close(); err != nil {
-		r.logger.Warn("failed to close a connection to an owner; it is dropped", "address", r.connectedAddress, "error", err)
-	}
-	r.connection = nil
-}
-
-// OwnerService is the gRPC service through which other members send requests to this
-// member's scheduler.
-type OwnerService struct {
-	fulmarfrontpb.UnimplementedOwnerServer
-	candidate Candidate
-}
-
-// NewOwnerService returns the gRPC service of a candidate.
-func NewOwnerService(candidate Candidate) *OwnerService { return &OwnerService{candidate: candidate} }
-
-// Ask executes another member's request. It fails with InvalidArgument when the job
-// cannot be decoded.
-func (s *OwnerService) Ask(ctx context.Context, request *fulmarfrontpb.Request) (*fulmarfrontpb.Reply, error) {
-	q := fulmarowner.Request{
-		Kind: fulmarowner.RequestKind(request.GetKind()), Job: request.GetJob(), Queue: request.GetQueue(),
-		ConfigurationVersion: request.GetConfigurationVersion(), OwnerToken: request.GetOwnerToken(),
-	}
-	if q.Kind == fulmarowner.Submit {
-		if err := json.Unmarshal(request.GetSpecification(), &q.Specification); err != nil {
-			return nil, status.Error(codes.InvalidArgument, (&fulmarjob.FormatError{What: "a job specification", Cause: err}).Error())
-		}
-	}
-	response := s.candidate.Do(ctx, q)
-	return &fulmarfrontpb.Reply{
-		Outcome: fulmarfrontpb.Outcome(response.Outcome), Reason: response.Reason, RetryAfterMs: int64(response.RetryAfter),
-		State: string(response.State), Pending: int64(response.Pending), Token: response.Token,
-	}, nil
-}
-
 func encodeRequest(q fulmarowner.Request) (*fulmarfrontpb.Request, error) {
 	request := &fulmarfrontpb.Request{Kind: fulmarfrontpb.Kind(q.Kind), Job: q.Job, Queue: q.Queue, ConfigurationVersion: q.ConfigurationVersion, OwnerToken: q.OwnerToken}
 	if q.Kind != fulmarowner.Submit {
--- a/internal/fulmarfront/server_test.go
+++ b/internal/fulmarfront/server_test.go
@@ -249,6 +249,57 @@
 	<-served
 }
 
+// partlySlowCandidate responds to states of jobs at once and to submissions only when released.
+type partlySlowCandidate struct {
+	release chan struct{}
+}
+
+func (c partlySlowCandidate) Do(ctx context.Context, q fulmarowner.Request) fulmarowner.Response {
+	if q.Kind == fulmarowner.Submit {
+		select {
+		case <-c.release:
+		case <-ctx.Done():
+		}
+	}
+	return fulmarowner.Response{Outcome: fulmarowner.Done}
+}
+func (partlySlowCandidate) Owner() (fulmarledger.Owner, bool) { return fulmarledger.Owner{}, false }
+func (partlySlowCandidate) OwnerChanged() <-chan struct{}     { return nil }
+
+// TestSlowResponseDoesNotCancelOtherRequests lets one request to the owner time out while the
+// owner answers others. A later request that is in flight meanwhile must get its response: with
+// its connection closed it would have an unknown outcome.
+func TestSlowResponseDoesNotCancelOtherRequests(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	server := grpc.NewServer()
+	candidate := partlySlowCandidate{release: make(chan struct{})}
+	fulmarfrontpb.RegisterOwnerServer(server, NewOwnerService(candidate))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	defer func() {
+		server.Stop()
+		<-served
+	}()
+	clock := fulmarclock.NewSystem()
+	router := NewRouter(remoteCandidate{listener.Addr().String()}, clock, log.New(io.Discard), noMetrics{}, "self")
+	defer router.Close()
+	attempt := func(kind fulmarowner.RequestKind) <-chan fulmarowner.Response {
+		responses := make(chan fulmarowner.Response, 1)
+		go func() {
+			responses <- router.attempt(context.Background(), fulmarowner.Request{Kind: kind, Job: testJobID})
+		}()
+		return responses
+	}
+	timesOut := attempt(fulmarowner.Submit)
+	<-clock.After(attemptTimeout / 2)
+	later := attempt(fulmarowner.Submit)
+	quicktest.Assert(t, (<-attempt(fulmarowner.State)).Outcome, quicktest.Equals, fulmarowner.Done)
+	quicktest.Assert(t, (<-timesOut).Outcome, quicktest.Equals, fulmarowner.Unknown)
+	close(candidate.release)
+	quicktest.Assert(t, (<-later).Outcome, quicktest.Equals, fulmarowner.Done)
+}
+
 // stoppingCandidate stops its server when it receives a request.
 type stoppingCandidate struct{ server *grpc.Server }
 
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -14,6 +14,8 @@
 	journalOpenTimeout = 5 * fulmarclock.Second
 	// maxQueuedEvents is the capacity of the channel of events for the scheduler.
 	maxQueuedEvents = 4096
+	// maxQueueDelay is how long a submission may wait for the scheduler before it is refused.
+	maxQueueDelay = 100 * fulmarclock.Millis(1)
 	// minAppendInterval is the minimum time between the starts of two appends to the journal.
 	minAppendInterval = 15 * fulmarclock.Millis(1)
 	// stallTimeout is how long an append may be in flight before new jobs are refused
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -118,11 +118,24 @@
 
 // requestReceived is a request to the owner. responses is buffered for the one response.
 type requestReceived struct {
-	request   Request
-	responses chan Response
+	request    Request
+	receivedAt fulmarclock.Millis
+	responses  chan Response
+}
+
+// isOverdue reports whether a submission has waited so long for the scheduler that the owner
+// is overloaded. It is then refused instead of decided on, which takes less time, so that the
+// queue becomes short again. A job that is already accepted stays so.
+func (e requestReceived) isOverdue(t *term, now fulmarclock.Millis) bool {
+	return e.request.Kind == Submit && now-e.receivedAt > maxQueueDelay && !t.scheduler.HasJob(e.request.Job)
 }
 
 func (e requestReceived) apply(t *term, now fulmarclock.Millis) {
+	if e.isOverdue(t, now) {
+		t.options.Metrics.Count("refusals", "overdue")
+		e.responses <- shedResponse
+		return
+	}
 	response, accepted := t.handle(now, e.request)
 	if accepted {
 		p := pendingResponse{response: response, responses: e.responses}
--- a/internal/fulmarowner/request.go
+++ b/internal/fulmarowner/request.go
@@ -59,3 +59,13 @@
 	// Token is the owner's fencing token.
 	Token int64
 }
+
+// reasonBusy is the reason of the submissions that the owner refuses because it is overloaded.
+const reasonBusy = "busy"
+
+// IsShed reports whether the owner refused a submission because it is overloaded, without
+// deciding on it.
+func (r Response) IsShed() bool { return r.Outcome == Refused && r.Reason == reasonBusy }
+
+// shedResponse is the response to a submission that the owner refuses because it is overloaded.
+var shedResponse = Response{Outcome: Refused, Reason: reasonBusy, RetryAfter: fulmarclock.Second}
--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -194,12 +194,12 @@
 func (t *term) do(ctx context.Context, request Request) Response {
 	responses := make(chan Response, 1)
 	select {
-	case t.events <- requestReceived{request: request, responses: responses}:
+	case t.events <- requestReceived{request: request, receivedAt: t.options.Clock.Now(), responses: responses}:
 	case <-t.ended:
 		return Response{Outcome: NotOwner}
 	default:
 		t.options.Metrics.Count("refusals", "ring-full")
-		return Response{Outcome: Refused, Reason: "busy", RetryAfter: fulmarclock.Second}
+		return shedResponse
 	}
 	select {
 	case response := <-responses:
--- a/internal/fulmarowner/term_test.go
+++ b/internal/fulmarowner/term_test.go
@@ -201,6 +201,48 @@
 	h.c.Assert(last, quicktest.Equals, second.ownership.Token())
 }
 
+// slowEvent stands for work that keeps the scheduler busy for a time.
+type slowEvent struct {
+	clock    *fulmarclock.Manual
+	duration fulmarclock.Millis
+}
+
+func (e slowEvent) apply(*term, fulmarclock.Millis) { e.clock.Advance(e.duration) }
+
+// TestOverdueSubmissionsAreShed keeps the scheduler busy while submissions wait for it. New jobs
+// are refused instead of adding to the work; a known job and the state of a job are answered.
+func TestOverdueSubmissionsAreShed(t *testing.T) {
+	h := newHarness(t)
+	owner := h.start()
+	h.acceptRunning(jobA)
+	entered, release := make(chan struct{}), make(chan struct{})
+	h.c.Assert(owner.send(blockingEvent{entered, release}), quicktest.IsTrue)
+	<-entered
+	h.c.Assert(owner.send(slowEvent{h.clock, 2 * maxQueueDelay}), quicktest.IsTrue)
+	known, overdue := h.submit(jobA), h.submit(jobB)
+	state := make(chan Response, 1)
+	go func() { state <- owner.do(context.Background(), Request{Kind: State, Job: jobA}) }()
+	for len(owner.events) < 4 {
+		h.settle()
+	}
+	close(release)
+	h.c.Assert(h.await(known).Outcome, quicktest.Equals, Done)
+	h.c.Assert(h.await(state).Outcome, quicktest.Equals, Done)
+	refused := h.await(overdue)
+	h.c.Assert(refused.IsShed(), quicktest.IsTrue, quicktest.Commentf("%+v", refused))
+	h.c.Assert(refused.RetryAfter > 0, quicktest.IsTrue)
+	h.c.Assert(h.ask(Request{Kind: State, Job: jobB}).Outcome, quicktest.Equals, UnknownJob)
+	h.c.Assert(h.await(h.submit(jobB)).Outcome, quicktest.Equals, Done)
+}
+
+// blockingEvent blocks the scheduler until released.
+type blockingEvent struct{ entered, release chan struct{} }
+
+func (e blockingEvent) apply(*term, fulmarclock.Millis) {
+	close(e.entered)
+	<-e.release
+}
+
 // panickingEvent stands for an input that violates an assumption of the scheduler.
 type panickingEvent struct{}
 
