--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -185,12 +185,20 @@
 	n.addServer(&group, n.metricsServer, n.listeners[2])
 	group.Add(func() error { return n.peerServer.Serve(n.listeners[3]) }, func(error) { n.peerServer.Stop() })
 	group.Add(func() error {
-		<-ctx.Done()
-		n.stop(resign, termEnded)
+		select {
+		case <-ctx.Done():
+			n.stop(resign, termEnded)
+		case <-interrupted:
+			// Another component has failed; the group closes the others.
+			n.stopping.Store(true)
+		}
 		return nil
 	}, func(error) {})
 	n.logger.Info("the member has started", "callers", n.settings.CallerAddress, "peers", n.settings.PeerAddress, "store", n.settings.Store)
 	err := group.Run()
+	if err != nil && ctx.Err() == nil {
+		n.logger.Error("a component failed; the member stops", "error", err)
+	}
 	n.close()
 	return err
 }
--- a/internal/fulmarnode/node_test.go
+++ b/internal/fulmarnode/node_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/frankban/quicktest"
@@ -12,18 +13,23 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
 
+// startNode starts a member that can't reach the platform.
+func startNode(t *testing.T, clock fulmarclock.Clock) *Node {
+	const local, nowhere = "127.0.0.1:0", "127.0.0.1:1"
+	node, err := start(Settings{
+		Member: "m", CallerAddress: local, Ready: local, PeerAddress: local, Metrics: local, Store: nowhere, Fleet: nowhere, Advice: nowhere,
+		Bounds: defaultBounds,
+	}, log.New(io.Discard), clock)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return node
+}
+
 // A member in a planned stop keeps responding to callers for its grace period, with and
 // without the ownership. Without the wait in Run, the end of the ownership term would
 // end the run group and with it the HTTP server.
 func TestPlannedStopKeepsResponding(t *testing.T) {
 	clock := fulmarclock.NewManual(0)
-	const local, nowhere = "127.0.0.1:0", "127.0.0.1:1"
-	settings := Settings{
-		Member: "m", CallerAddress: local, Ready: local, PeerAddress: local, Metrics: local, Store: nowhere, Fleet: nowhere, Advice: nowhere,
-		Bounds: defaultBounds,
-	}
-	node, err := start(settings, log.New(io.Discard), clock)
-	quicktest.Assert(t, err, quicktest.IsNil)
+	node := startNode(t, clock)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
@@ -54,3 +60,18 @@
 		}
 	}
 }
+
+// TestRunEndsWhenComponentFails closes the listener for peers. The member must stop with that
+// error instead of running on without its peers.
+func TestRunEndsWhenComponentFails(t *testing.T) {
+	node := startNode(t, fulmarclock.NewSystem())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(context.Background()) }()
+	_ = node.listeners[3].Close()
+	select {
+	case err := <-ended:
+		quicktest.Assert(t, err, quicktest.IsNotNil)
+	case <-time.After(time.Minute):
+		t.Fatal("the member still runs")
+	}
+}
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -185,7 +187,7 @@
 	}
 	for _, r := range records {
 		if err := s.restoreRecord(r, progress); err != nil {
-			return &fulmarjob.FormatError{What: r.Key, Cause: err}
+			return malformedRecord(r.Key, err)
 		}
 	}
 	for _, r := range records {
@@ -200,13 +202,22 @@
 	}
 	for id, value := range progress {
 		if err := s.restoreEndedJob(id, value); err != nil {
-			return &fulmarjob.FormatError{What: progressKeyPrefix + id, Cause: err}
+			return err
 		}
 	}
 	s.log.Log("state restored from the journal", "records", len(records), "jobs", len(s.jobs), "executors", len(s.executors))
 	return nil
 }
 
+// malformedRecord returns a FormatError for a key, unless err names a key already.
+func malformedRecord(key string, err error) error {
+	var malformed *fulmarjob.FormatError
+	if errors.As(err, &malformed) {
+		return err
+	}
+	return &fulmarjob.FormatError{What: key, Cause: err}
+}
+
 func (s *Scheduler) restoreRecord(r Record, progress map[string]json.RawMessage) error {
 	if strings.HasPrefix(r.Key, waveKeyPrefix) {
 		return s.restoreWave(r.Value)
@@ -242,13 +253,15 @@
 func (s *Scheduler) restoreProgress(j *job, value json.RawMessage) error {
 	var progress progressRecord
 	if err := json.Unmarshal(value, &progress); err != nil {
-		return err
+		return malformedRecord(progressKeyPrefix+j.id, err)
 	}
 	j.openedOccurrences, j.doneOccurrences = progress.OpenedOccurrences, progress.DoneOccurrences
 	for _, r := range progress.Active {
 		o := newOccurrence(j, r.Number)
 		j.activeOccurrences = append(j.activeOccurrences, o)
-		s.restoreTasks(j, o, r)
+		if err := s.restoreTasks(o, r); err != nil {
+			return malformedRecord(progressKeyPrefix+j.id, err)
+		}
 	}
 	if progress.Final != "" {
 		j.state, j.endedUnixMillis, j.finalStateJournaled = progress.Final, progress.EndedUnixMillis, true
@@ -256,12 +269,20 @@
 	return nil
 }
 
-func (s *Scheduler) restoreTasks(j *job, o *occurrence, r occurrenceRecord) {
+// restoreTasks restores the tasks of an occurrence. It fails if the record has other steps or
+// tasks than the job's description.
+func (s *Scheduler) restoreTasks(o *occurrence, r occurrenceRecord) error {
+	if len(r.Steps) > len(o.steps) {
+		return fmt.Errorf("%d steps recorded of a job with %d", len(r.Steps), len(o.steps))
+	}
 	for i, records := range r.Steps {
+		if len(records) > len(o.steps[i]) {
+			return fmt.Errorf("%d tasks recorded of step %d with %d", len(records), i, len(o.steps[i]))
+		}
 		for k, record := range records {
 			t := o.steps[i][k]
 			t.run, t.attempts, t.checkpoint = record.Run, record.Attempts, record.Checkpoint
-			j.started = j.started || record.Started
+			t.job.started = t.job.started || record.Started
 			switch record.State {
 			case taskDone:
 				t.setState(taskDone)
@@ -271,6 +292,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // restorePlacement assumes that a run is present on its executor until a lease of maximum length
--- /dev/null
+++ b/internal/fulmarsched/record_test.go
@@ -0,0 +1,44 @@
+package fulmarsched
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// TestRestoreRejectsMalformedRecords restores journals with a record that doesn't fit its job.
+// The error names the key; nothing panics.
+func TestRestoreRejectsMalformedRecords(t *testing.T) {
+	description := encodeRecord("j/a", jobRecord{
+		Queue: testConfiguration().Queues[0], Accepted: 1, Specification: fulmarjob.Specification{Payload: "x", Steps: []fulmarjob.Step{step(2)}},
+	}).Value
+	for _, row := range []struct {
+		name, key, value string
+	}{
+		{"description is no JSON", "j/a", `{`},
+		{"progress is no JSON", "p/a", `]`},
+		{"more steps than the job has", "p/a", `{"o":1,"a":[{"s":[[{}],[{}]]}]}`},
+		{"more tasks than the step has", "p/a", `{"o":1,"a":[{"s":[[{},{},{}]]}]}`},
+		{"wave is no JSON", "w/1", `x`},
+		{"move is no JSON", moveKeyPrefix + "vm-0", `x`},
+		{"model is no JSON", modelKeyPrefix + "m", `x`},
+		{"unresponsive executor is no JSON", unresponsiveKeyPrefix + "x-0", `x`},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := New(1000, testParameters, 1, discardLogger{})
+			records := []Record{{Key: "j/a", Value: description}}
+			if row.key == "j/a" {
+				records = nil
+			}
+			records = append(records, Record{Key: row.key, Value: json.RawMessage(row.value)})
+			var malformed *fulmarjob.FormatError
+			err := s.Restore(1000, 1000, records)
+			quicktest.Assert(t, errors.As(err, &malformed), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			quicktest.Assert(t, malformed.What, quicktest.Contains, row.key)
+		})
+	}
+}
