--- a/internal/fulmarsched/fault_test.go
+++ b/internal/fulmarsched/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -383,3 +384,31 @@
 		sim.waitFor(sim.now+startValidity+3000, "the job is completed", sim.allCompleted)
 	})
 }
+
+// An executor has ended and left the store while one owner followed the other. The next owner
+// knows it only from the journal, and must place nothing on it, at once or later.
+func TestDepartedExecutorIsNotUsedAfterRestart(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.runUntil(1200)
+	for i := range 4 {
+		sim.submit(jobID(i), step(2))
+	}
+	sim.waitFor(3000, "both executors have run tasks", func() bool {
+		return slices.ContainsFunc(sim.runs, func(r *taskRun) bool { return r.executor == "x-0" }) &&
+			slices.ContainsFunc(sim.runs, func(r *taskRun) bool { return r.executor == "x-1" })
+	})
+	sim.executors[0].crash()
+	sim.newOwner()
+	departed := len(sim.runs)
+	for i := range 4 {
+		sim.submit(jobID(10+i), step(2))
+	}
+	sim.waitFor(60000, "all jobs are completed", sim.allCompleted)
+	for _, r := range sim.runs[departed:] {
+		quicktest.Check(t, r.executor, quicktest.Equals, "x-1")
+	}
+	for _, c := range sim.scheduler.TakeCommands() {
+		start, isStart := c.(StartCommand)
+		quicktest.Check(t, isStart && start.Target.ID == "x-0", quicktest.IsFalse)
+	}
+}
