Owner: answer requests that are queued after the end of a term

Cause: a request that has found the term just before its end may still be put into the queue of events, as both the queue and the end are ready. Nobody answered it: it was held until its deadline and then reported as unknown (504).

Change: such a request gets NotOwner once the queue has been drained; the scheduler never received it.

--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -26,6 +26,8 @@
 	events    chan event
 	// ended is closed when the scheduler accepts no more events.
 	ended chan struct{}
+	// drained is closed when the events that were queued at the end have been answered.
+	drained chan struct{}
 	// calls are the goroutines of the term.
 	calls sync.WaitGroup
 	// latency tracks how long executors take to respond to a start command.
@@ -46,7 +48,7 @@
 func newTerm(c *Candidate, ownership *fulmarledger.Ownership) *term {
 	return &term{
 		options: c.options, candidate: c, ownership: ownership,
-		events: make(chan event, maxQueuedEvents), ended: make(chan struct{}),
+		events: make(chan event, maxQueuedEvents), ended: make(chan struct{}), drained: make(chan struct{}),
 		latency: fulmarhedge.NewLatencyTracker(minHedgeDelay, commandTimeout/2, maxCommandAttempts),
 	}
 }
@@ -87,6 +89,7 @@
 	cancel()
 	t.calls.Wait()
 	t.rejectQueued()
+	close(t.drained)
 }
 
 // rejectQueued responds to the requests and appends that are still queued as events.
@@ -205,11 +208,25 @@
 	case response := <-responses:
 		response.Token = t.ownership.Token()
 		return response
+	case <-t.drained:
+		return t.lateResponse(responses)
 	case <-ctx.Done():
 		return Response{Outcome: Unknown, Reason: "deadline", Token: t.ownership.Token()}
 	}
 }
 
+// lateResponse returns the response to a request of a term that has ended. A request without
+// one was queued after the end, so the scheduler never received it.
+func (t *term) lateResponse(responses <-chan Response) Response {
+	select {
+	case response := <-responses:
+		response.Token = t.ownership.Token()
+		return response
+	default:
+		return Response{Outcome: NotOwner}
+	}
+}
+
 // loop runs the scheduler until the term fails: it applies events, appends batches to the
 // journal and executes commands. When ctx is done it stops after the append in flight.
 func (t *term) loop(ctx, termCtx context.Context, lost <-chan error) {
--- a/internal/fulmarowner/term_test.go
+++ b/internal/fulmarowner/term_test.go
@@ -83,7 +83,11 @@
 	})
 	h.waitFor("the term has ended", func() bool { return h.candidate.term.Load() != first })
 	commands := len(h.executors.received())
-	h.c.Assert(first.do(context.Background(), Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, NotOwner)
+	// A request that has found the term just before its end may still be queued. It must be
+	// answered at once, whether it is queued or not.
+	for range 50 {
+		h.c.Assert(first.do(context.Background(), Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, NotOwner)
+	}
 	for _, c := range h.executors.received()[commands:] {
 		h.c.Check(c.token > first.ownership.Token(), quicktest.IsTrue, quicktest.Commentf("%+v", c))
 	}
