Owner: the handling of requests in a file of its own

Queueing a request, deciding on it and its late response move to intake.go unchanged. Tests of the package pass.

--- /dev/null
+++ b/internal/fulmarowner/intake.go
@@ -0,0 +1,111 @@
+package fulmarowner
+
+import (
+	"context"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
+)
+
+// do queues a request for the scheduler and waits for the response. It refuses the
+// request if the queue is full.
+func (t *term) do(ctx context.Context, request Request) Response {
+	responses := make(chan Response, 1)
+	select {
+	case t.events <- requestReceived{request: request, receivedAt: t.options.Clock.Now(), responses: responses}:
+	case <-t.ended:
+		return Response{Outcome: NotOwner}
+	default:
+		t.options.Metrics.Count("refusals", "ring-full")
+		return shedResponse
+	}
+	select {
+	case response := <-responses:
+		response.Token = t.ownership.Token()
+		return response
+	case <-t.drained:
+		return t.lateResponse(responses)
+	case <-ctx.Done():
+		return Response{Outcome: Unknown, Reason: "deadline", Token: t.ownership.Token()}
+	}
+}
+
+// lateResponse returns the response to a request of a term that has ended. A request without
+// one was queued after the end, so the scheduler never received it.
+func (t *term) lateResponse(responses <-chan Response) Response {
+	select {
+	case response := <-responses:
+		response.Token = t.ownership.Token()
+		return response
+	default:
+		return Response{Outcome: NotOwner}
+	}
+}
+
+// handle applies a request to the scheduler. It returns true if the response must wait
+// until the journal holds the change.
+func (t *term) handle(now fulmarclock.Millis, request Request) (Response, bool) {
+	unix := t.options.Clock.Unix()
+	switch request.Kind {
+	case Submit:
+		return t.submit(now, unix, request)
+	case Cancel:
+		response, accepted := responseTo(t.scheduler.Cancel(now, unix, request.Job))
+		if response.Outcome == UnknownJob {
+			return t.unknownJobResponse(), false
+		}
+		return response, accepted
+	case State:
+		state, known := t.scheduler.JobState(request.Job)
+		if !known {
+			return t.unknownJobResponse(), false
+		}
+		return Response{Outcome: Done, State: state}, false
+	case Pending:
+		return Response{Outcome: Done, Pending: t.scheduler.PendingJobs(request.Queue)}, false
+	}
+	return Response{Outcome: Refused, Reason: "kind"}, false
+}
+
+// unknownJobResponse returns UnknownJob, or NotOwner if there may be a newer owner that
+// knows the job.
+func (t *term) unknownJobResponse() Response {
+	if !t.ownership.IsValid() {
+		return Response{Outcome: NotOwner}
+	}
+	return Response{Outcome: UnknownJob, Reason: "unknown job"}
+}
+
+// submit passes a job to the scheduler. It refuses the job itself if the configuration no
+// longer has the queue or the append in flight is stalled.
+func (t *term) submit(now fulmarclock.Millis, unix int64, request Request) (Response, bool) {
+	configuration, _ := t.candidate.inputs()
+	if configuration == nil || configuration.Version < request.ConfigurationVersion {
+		// The sending member retries until the owner has the same configuration.
+		return Response{Outcome: NotOwner, Reason: "configuration-behind"}, false
+	}
+	queue, found := configuration.QueueByName(request.Queue)
+	if !found {
+		return Response{Outcome: Refused, Reason: "queue-removed", RetryAfter: fulmarclock.Second}, false
+	}
+	if retryAfter, stalled := t.stallRetryAfter(now); stalled && !t.scheduler.HasJob(request.Job) {
+		t.options.Logger.Info("job refused", "job", request.Job, "queue", request.Queue, "reason", reasonStoreStalled, "stalled_ms", now-t.appendStarted)
+		t.options.Metrics.Count("refusals", reasonStoreStalled)
+		return Response{Outcome: Refused, Reason: reasonStoreStalled, RetryAfter: retryAfter}, false
+	}
+	return responseTo(t.scheduler.Submit(now, unix, fulmarsched.Submission{
+		ID: request.Job, Queue: queue, Specification: request.Specification,
+	}))
+}
+
+// responseTo translates a decision of the scheduler. It returns true if the response
+// must wait for the journal.
+func responseTo(d fulmarsched.Decision) (Response, bool) {
+	switch d.Outcome {
+	case fulmarsched.OutcomeAccepted:
+		return Response{Outcome: Done, Reason: d.Reason}, true
+	case fulmarsched.OutcomeUnknownJob:
+		return Response{Outcome: UnknownJob, Reason: d.Reason}, false
+	}
+	return Response{Outcome: Refused, Reason: d.Reason, RetryAfter: d.RetryAfter}, false
+}
