Admission: count only the jobs that are placed before a new one

Cause: a job was refused when the whole backlog of its pool took longer than the job could wait, though jobs are placed by the time they have left: those that are late already, and those with more time left, come after it.

--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -31,7 +31,11 @@
 	return cmp.Or(cmp.Compare(r.priority, other.priority), cmp.Compare(r.class, other.class), cmp.Compare(r.slack, other.slack))
 }
 
-func (s *Scheduler) rankOf(j *job) rank {
+// rankOf returns the rank of a job as of now.
+func (s *Scheduler) rankOf(j *job) rank { return s.rankWithPath(j, s.remainingCriticalPath(j)) }
+
+// rankWithPath returns the rank of a job whose remaining critical path is known.
+func (s *Scheduler) rankWithPath(j *job, path fulmarclock.Millis) rank {
 	r := rank{priority: j.queue.Priority}
 	if j.longRunning {
 		r.class = classLongRunning
@@ -39,7 +43,7 @@
 		return r
 	}
 	r.class = classOnTime
-	r.slack = j.deadline - s.now - s.remainingCriticalPath(j)
+	r.slack = j.deadline - s.now - path
 	if r.slack < 0 {
 		r.class = classLate
 		r.slack = j.receivedAt
@@ -274,52 +278,3 @@
 	}
 	return float64(e.freeCapacity().MilliCPU) / float64(e.info.Capacity.MilliCPU)
 }
-
-// checkAdmission reports whether a new job must be refused because the backlog is too large for it
-// to meet its deadline, and returns the refusal.
-func (s *Scheduler) checkAdmission(j *job) (Decision, bool) {
-	if j.longRunning || j.specification.FirstDue > 0 {
-		return Decision{}, false
-	}
-	capacity := fulmarjob.Resources{}
-	for _, e := range s.services().executors[j.queue.Service] {
-		if e.isSchedulable(s.now) {
-			capacity = capacity.Add(e.info.Capacity)
-		}
-	}
-	if capacity.MilliCPU == 0 {
-		return Decision{}, false
-	}
-	wait := fulmarclock.Millis(s.backlog(j.queue.Service) / float64(capacity.MilliCPU))
-	slack := j.queue.TargetLatency + fulmarclock.Millis((j.queue.SlackFactor-1)*float64(s.criticalPath(j, nil)))
-	if wait <= slack {
-		return Decision{}, false
-	}
-	return Decision{Outcome: OutcomeRefused, Reason: "backlog", RetryAfter: wait - slack}, true
-}
-
-// backlog returns the work waiting in the queues of a service, in millicore-milliseconds.
-func (s *Scheduler) backlog(service string) float64 {
-	sum := 0.0
-	for _, j := range s.services().jobs[service] {
-		if j.state.IsFinal() || j.longRunning {
-			continue
-		}
-		for _, o := range j.activeOccurrences {
-			sum += s.waitingWork(j, o)
-		}
-	}
-	return sum
-}
-
-// waitingWork returns the work of the waiting tasks of an occurrence, in millicore-milliseconds.
-func (s *Scheduler) waitingWork(j *job, o *occurrence) float64 {
-	sum := 0.0
-	for i, waiting := range o.waiting {
-		if waiting > 0 {
-			step := &j.specification.Steps[i]
-			sum += float64(waiting) * float64(step.Resources.MilliCPU) * float64(s.estimate(j, step))
-		}
-	}
-	return sum
-}
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -233,7 +233,8 @@
 	j := newJob(id, record.Queue, record.Specification)
 	j.accepted, j.recorded = record.Accepted, true
 	j.receivedAt = s.now - fulmarclock.Millis(max(s.unixMillis-record.Accepted, 0))
-	s.addJob(j)
+	s.setDeadline(j)
+	s.addToLists(j)
 	value, known := progress[id]
 	delete(progress, id)
 	if !known {
--- a/internal/fulmarsched/scale_test.go
+++ b/internal/fulmarsched/scale_test.go
@@ -39,8 +39,10 @@
 	for q := range configuration.Queues {
 		for i := range endedPerQueue + waitingPerQueue {
 			id := fmt.Sprintf("%08x%08x", q+1, i)
-			s.addJob(loadedJob(s, id, q))
-			s.openOccurrences(s.jobs[id])
+			j := loadedJob(s, id, q)
+			s.setDeadline(j)
+			s.addToLists(j)
+			s.openOccurrences(j)
 			if i < endedPerQueue {
 				s.endJob(s.jobs[id], fulmarjob.Cancelled, "")
 			}
--- a/internal/fulmarsched/serviceindex_test.go
+++ b/internal/fulmarsched/serviceindex_test.go
@@ -54,7 +54,15 @@
 			}
 		}
 	}
-	got, want := s.backlog(testService), referenceBacklog(s, testService)
+	got, want := 0.0, referenceBacklog(s, testService)
+	for _, j := range s.services().jobs[testService] {
+		if j.state.IsFinal() || j.longRunning {
+			continue
+		}
+		for _, o := range j.activeOccurrences {
+			got += s.waitingWork(j, o)
+		}
+	}
 	if math.Abs(got-want) > want*1e-9 {
 		t.Fatalf("backlog %v, by task %v", got, want)
 	}
--- a/internal/fulmarsched/submission.go
+++ b/internal/fulmarsched/submission.go
@@ -45,23 +45,25 @@
 	}
 	j := newJob(sub.ID, sub.Queue, sub.Specification)
 	j.accepted, j.receivedAt = unixMillis, now
+	s.setDeadline(j)
 	s.recordDemand(j)
 	if refusal, refused := s.checkAdmission(j); refused {
 		s.log.Log("job refused", "job", j.id, "queue", j.queue.Name, "reason", refusal.Reason, "retry_after_ms", refusal.RetryAfter)
 		s.log.Count("refusals", refusal.Reason)
 		return refusal
 	}
-	s.addJob(j)
+	s.addToLists(j)
 	s.openOccurrences(j)
 	s.markDirty(j)
 	s.log.Log("job accepted", "job", j.id, "queue", j.queue.Name, "steps", len(j.specification.Steps), "deadline_ms", j.deadline-now)
 	return Decision{Outcome: OutcomeAccepted, Reason: "accepted"}
 }
 
-// addJob adds a job and sets its deadline.
-func (s *Scheduler) addJob(j *job) {
-	s.addToLists(j)
-	j.deadline = j.receivedAt + j.queue.TargetLatency + fulmarclock.Millis(j.queue.SlackFactor*float64(s.criticalPath(j, nil)))
+// setDeadline sets a job's deadline, and its rank as of now.
+func (s *Scheduler) setDeadline(j *job) {
+	path := s.criticalPath(j, nil)
+	j.deadline = j.receivedAt + j.queue.TargetLatency + fulmarclock.Millis(j.queue.SlackFactor*float64(path))
+	j.rank = s.rankWithPath(j, path)
 }
 
 // HasJob reports whether a job with this ID exists.
