--- a/internal/fulmarmember/calltimeout.go
+++ b/internal/fulmarmember/calltimeout.go
@@ -17,9 +17,9 @@
 	current  fulmarclock.Millis
 }
 
-// newCallTimeout returns a timeout that starts at min and stays between min and max.
-func newCallTimeout(min, max fulmarclock.Millis) callTimeout {
-	return callTimeout{min: min, max: max, current: min}
+// newCallTimeout returns a timeout that starts at the minimum and stays between it and the maximum.
+func newCallTimeout(minimum, maximum fulmarclock.Millis) callTimeout {
+	return callTimeout{min: minimum, max: maximum, current: minimum}
 }
 
 // value returns the timeout of the next call.
--- /dev/null
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -0,0 +1,141 @@
+package fulmarsched
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+func (s *simulation) executorOf(t Target) *fakeExecutor {
+	for _, e := range s.executors {
+		if e.info.ID == t.ID {
+			return e
+		}
+	}
+	return nil
+}
+
+// execute executes a command at once, or later if it is a start whose result is lost. The result
+// reaches the scheduler in a later step.
+func (s *simulation) execute(c Command) {
+	s.commandCount++
+	n, owner := s.commandCount, s.generation
+	lost := s.losesResult(n) || s.losesNextResult(c)
+	respond := func(at fulmarclock.Millis, do func()) {
+		s.events = append(s.events, event{at: at, run: func() {
+			if owner == s.generation {
+				do()
+			}
+		}})
+	}
+	switch c := c.(type) {
+	case StartCommand:
+		s.executeStart(c, n, lost, respond)
+	case StopCommand:
+		e := s.executorOf(c.Target)
+		if !e.alive || e.unresponsive || lost {
+			respond(s.now+800, func() { s.scheduler.HandleStopResult(s.now, c.Target, c.Task, c.Run, fulmarjob.ResultUnknown) })
+			return
+		}
+		result := e.stop(c.Task, c.Run, c.Token)
+		respond(s.now+simulationStep, func() { s.scheduler.HandleStopResult(s.now, c.Target, c.Task, c.Run, result) })
+	case RenewCommand:
+		s.executeRenewal(c, lost, respond)
+	case MaintenanceCommand:
+		if !slices.Contains(s.maintainedVMs, c.VM) {
+			s.maintainedVMs = append(s.maintainedVMs, c.VM)
+			s.shutDownVM(c.VM, testParameters.MaintenanceDuration, testService)
+		}
+		respond(s.now+simulationStep, func() { s.scheduler.HandleMaintenanceResult(s.now, c.VM, c.Wave, true, false) })
+	case MoveCommand:
+		s.moves = append(s.moves, c)
+		s.shutDownVM(c.VM, testParameters.MoveDuration, c.Pool)
+		respond(s.now+simulationStep, func() { s.scheduler.HandleMoveResult(s.now, c.VM, c.Pool, true, false) })
+	case AdviseCommand:
+		tickets := map[string]string{}
+		for _, id := range c.Executors {
+			if s.adviceAllows(id) {
+				tickets[id] = "ticket-" + id
+			}
+		}
+		sent := s.now
+		respond(s.now+50, func() { s.scheduler.HandleAdvice(s.now, sent, c, tickets, 1000, true) })
+	case WaveReport:
+		s.waveReports = append(s.waveReports, c)
+	}
+}
+
+// loseNextResult loses the result of the next command that matches.
+func (s *simulation) loseNextResult(matches func(c Command) bool) { s.losesNext = matches }
+
+func (s *simulation) losesNextResult(c Command) bool {
+	if s.losesNext == nil || !s.losesNext(c) {
+		return false
+	}
+	s.losesNext = nil
+	s.lostCommands++
+	return true
+}
+
+func (s *simulation) executeStart(c StartCommand, n int, lost bool, respond func(fulmarclock.Millis, func())) {
+	e := s.executorOf(c.Target)
+	if !e.alive || e.unresponsive {
+		respond(s.now+800, func() {
+			s.scheduler.HandleStartResult(s.now, c.Target, c.Start.Task, c.Start.Run, fulmarjob.ResultUnknown)
+		})
+		return
+	}
+	start := func() fulmarjob.CommandResult {
+		if !e.alive || e.info.Incarnation != c.Target.Incarnation {
+			return fulmarjob.ResultOtherIncarnation
+		}
+		return e.start(c.Start)
+	}
+	if lost {
+		s.events = append(s.events, event{at: s.now + s.commandDelay(n), run: func() { start() }})
+		respond(s.now+800, func() {
+			s.scheduler.HandleStartResult(s.now, c.Target, c.Start.Task, c.Start.Run, fulmarjob.ResultUnknown)
+		})
+		return
+	}
+	result := start()
+	respond(s.now+simulationStep, func() { s.scheduler.HandleStartResult(s.now, c.Target, c.Start.Task, c.Start.Run, result) })
+}
+
+func (s *simulation) executeRenewal(c RenewCommand, lost bool, respond func(fulmarclock.Millis, func())) {
+	e, sent := s.executorOf(c.Target), s.now
+	if !e.alive || e.unresponsive || lost {
+		respond(s.now+c.Wait+800, func() { s.scheduler.HandleRenewalFailure(s.now, c.Target, fulmarjob.ResultUnknown) })
+		return
+	}
+	result, report := e.renewLease(c)
+	if result != fulmarjob.ResultDone {
+		respond(s.now+simulationStep, func() { s.scheduler.HandleRenewalFailure(s.now, c.Target, result) })
+		return
+	}
+	respond(s.now+simulationStep, func() { s.scheduler.HandleRenewal(s.now, sent, c.Target, report) })
+}
+
+// shutDownVM crashes the executors of a VM. After the downtime its executor returns under another
+// ID, unless the VM moved to another pool.
+func (s *simulation) shutDownVM(vm string, downtime fulmarclock.Millis, pool string) {
+	for _, e := range s.executors {
+		if e.info.VM != vm || !e.alive {
+			continue
+		}
+		for _, r := range e.running {
+			if s.stepOf(r.task).LongRunning {
+				s.t.Errorf("%v at %d ms: ended by a command for VM %s", r.task, s.now, vm)
+			}
+		}
+		e.crash()
+	}
+	id := fmt.Sprintf("%s-%d", vm, s.now)
+	s.events = append(s.events, event{at: s.now + downtime, run: func() {
+		if pool == testService {
+			s.addExecutor(id, vm)
+		}
+	}})
+}
