--- a/internal/fulmardaemon/move_test.go
+++ b/internal/fulmardaemon/move_test.go
@@ -81,9 +81,23 @@
 	f.apply(threeInP)
 	f.eventually("the VMs are assigned", func() bool { return f.countIn("p") == 3 && f.countIn("q") == 1 })
 	f.eventually("every member is ready", f.allMembersReady)
+	// A member that is ready may still use the configuration before, without the pool "q".
+	f.eventually("every member has a scheduler for each pool", func() bool { return f.allMembersServe("p", "q") })
 	return f, planner
 }
 
+// allMembersServe reports whether every member has applied a configuration with the pools.
+func (f *fleet) allMembersServe(pools ...string) bool {
+	for _, m := range f.members {
+		for _, pool := range pools {
+			if _, found := m.daemon.Record().Document.Pools[pool]; !found {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // allMembersReady reports whether every member accepts callers. One that is not ready refuses them.
 func (f *fleet) allMembersReady() bool {
 	for _, m := range f.members {
