--- a/internal/fulmarsched/scale_test.go
+++ b/internal/fulmarsched/scale_test.go
@@ -8,10 +8,10 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
-// fleetSizes are the numbers of VMs of the fleets in the benchmarks.
+// fleetSizes are the numbers of VMs at which the cost of an event is compared.
 var fleetSizes = []int{48, 350, 542, 3000, 8800}
 
-// vmsPerService is the number of VMs in a pool of the benchmarks: larger fleets have more pools.
+// vmsPerService is the number of VMs in a pool. Larger fleets have more pools.
 const vmsPerService = 70
 
 // newLoadedScheduler returns a scheduler with VMs in pools, and with jobs of each queue that ended
