Moves: a VM whose move is given up gets no tasks while a command may follow

Cause: a move that the platform does not confirm within 8 s was finished at once, and its VM got tasks again, while the last command, sent up to half a second before, may still be carried out and end them.

Change: the VM stays cordoned until TakeoverDelay has passed since the last command.

TestAbandonedMoveEndsNoTask fails before (a long-running task is ended by a command for its VM) and passes now.

--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -331,3 +331,20 @@
 	}
 	quicktest.Assert(t, len(sim.scheduler.executors), quicktest.Equals, 3)
 }
+
+// The platform confirms no command to move an idle VM, and carries the last ones out late. The
+// scheduler gives the move up, but must not place a task on the VM while a command may follow.
+func TestAbandonedMoveEndsNoTask(t *testing.T) {
+	const never, late = fulmarclock.Millis(1_000_000), fulmarclock.Millis(2000)
+	sim := newSimulation(t, 4)
+	sim.runBehavior = runsForever
+	sim.moveDelay = never
+	sim.runUntil(4500)
+	sim.scheduler.UpdateVMs(sim.now, vmList(sim, 0))
+	sim.waitFor(9000, "a VM is to move to standby", func() bool { return len(sim.moves) == 1 })
+	chosen := sim.now
+	sim.submit(jobID(1), longRunningStep(4, 1))
+	sim.runUntil(chosen + moveTimeout - commandRetryInterval - 100)
+	sim.moveDelay = late
+	sim.runUntil(chosen + moveTimeout + late + testParameters.MoveDuration + 5000)
+}
--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -193,13 +193,22 @@
 		case m.confirmedAt > 0:
 			s.checkMoveTimeout(m)
 		case s.now > m.chosenAt+moveTimeout:
-			s.finishMove(m, "the platform did not confirm the move in time")
+			s.abandonMove(m)
 		case m.sentAt == 0 || s.now >= m.sentAt+commandRetryInterval:
 			s.sendMove(m)
 		}
 	}
 }
 
+// abandonMove finishes a move that the platform has not confirmed. Until TakeoverDelay has passed
+// since its last command, the platform may still carry the command out, which ends what runs on
+// the VM: until then the VM gets no tasks.
+func (s *Scheduler) abandonMove(m *vmMove) {
+	if m.sentAt == 0 || s.now > m.sentAt+s.params.TakeoverDelay {
+		s.finishMove(m, "the platform did not confirm the move in time")
+	}
+}
+
 func (s *Scheduler) sendMove(m *vmMove) {
 	for _, e := range s.allExecutors() {
 		if e.info.VM == m.vm && !e.retired && len(e.tasks) > 0 {
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -51,6 +51,10 @@
 		respond(s.now+simulationStep, func() { s.scheduler.HandleMaintenanceResult(s.now, c.VM, c.Wave, true, false) })
 	case MoveCommand:
 		s.moves = append(s.moves, c)
+		if s.moveDelay > 0 {
+			s.events = append(s.events, event{at: s.now + s.moveDelay, run: func() { s.shutDownVM(c.VM, testParameters.MoveDuration, c.Pool) }})
+			return
+		}
 		s.shutDownVM(c.VM, testParameters.MoveDuration, c.Pool)
 		respond(s.now+simulationStep, func() { s.scheduler.HandleMoveResult(s.now, c.VM, c.Pool, true, false) })
 	case AdviseCommand:
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -57,8 +57,11 @@
 	storeDown        bool
 	maintainedVMs    []string
 	moves            []MoveCommand
-	waveReports      []WaveReport
-	generation       int
+	// moveDelay is how long after a move command without a result the platform carries it out;
+	// zero means at once and with a result.
+	moveDelay   fulmarclock.Millis
+	waveReports []WaveReport
+	generation  int
 
 	// runBehavior returns how long a run takes and whether it fails.
 	runBehavior func(id fulmarjob.TaskID, number int64, e *fakeExecutor) (fulmarclock.Millis, bool)
