--- a/internal/fulmarfront/router.go
+++ b/internal/fulmarfront/router.go
@@ -54,14 +54,14 @@
 	selfAddress string
 
 	connections *ownerConnections
-	throttle    *throttle
+	shedder     *shedder
 }
 
 // NewRouter returns a router for the member with the peer address self.
 func NewRouter(candidate Candidate, clock fulmarclock.Clock, logger *log.Logger, metrics Metrics, self string) *Router {
 	return &Router{
 		candidate: candidate, clock: clock, logger: logger, metrics: metrics, selfAddress: self,
-		connections: newOwnerConnections(clock, logger), throttle: newThrottle(rand.Float64),
+		connections: newOwnerConnections(clock, logger), shedder: newShedder(rand.Float64),
 	}
 }
 
@@ -80,7 +80,7 @@
 // predecessors stored, and they can store nothing more.
 func (r *Router) Do(ctx context.Context, q fulmarowner.Request) fulmarowner.Response {
 	start := r.clock.Now()
-	if q.Kind == fulmarowner.Submit && !r.throttle.allows(start) {
+	if q.Kind == fulmarowner.Submit && !r.shedder.allows(start) {
 		r.metrics.Count("refusals", reasonOwnerBusy)
 		return fulmarowner.Response{Outcome: fulmarowner.Refused, Reason: reasonOwnerBusy, RetryAfter: busyRetryAfter}
 	}
@@ -90,7 +90,7 @@
 		response := r.attempt(ctx, q)
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			// An attempt that ended because its caller left says nothing about the owner.
-			r.throttle.record(r.clock.Now(), response)
+			r.shedder.record(r.clock.Now(), response)
 		}
 		switch response.Outcome {
 		case fulmarowner.Done, fulmarowner.UnknownJob:
--- a/internal/fulmarfront/throttle_test.go
+++ b/internal/fulmarfront/shedder_test.go
@@ -19,9 +19,9 @@
 	noOwner          = fulmarowner.Response{Outcome: fulmarowner.NotOwner}
 )
 
-// playThrottle offers submissions at a rate for a time, with responses by their number, and
+// playShedder offers submissions at a rate for a time, with responses by their number, and
 // returns how many were let through.
-func playThrottle(t *throttle, start, duration fulmarclock.Millis, perSecond int, respond func(n int) fulmarowner.Response) int {
+func playShedder(s *shedder, start, duration fulmarclock.Millis, perSecond int, respond func(n int) fulmarowner.Response) int {
 	sent := 0
 	count := int(duration) * perSecond / 1000
 	for i := range count {
@@ -43,7 +43,7 @@
 	}
 }
 
-func TestThrottle(t *testing.T) {
+func TestShedder(t *testing.T) {
 	always := func(r fulmarowner.Response) func(int) fulmarowner.Response {
 		return func(int) fulmarowner.Response { return r }
 	}
@@ -64,23 +64,23 @@
 			return acceptedResponse
 		}, 360, 400},
 		{"few without response", 2, always(noResponse), 8, 8},
-		// At most throttleMinAttempts in throttleDecayMillis, which are 80 and the first 10, and a
+		// At most shedMinAttempts in shedDecayMillis, which are 80 and the first 10, and a
 		// tenth of the others.
 		{"all shed", 100, always(shedResponse), 10, 121},
 		{"no responses", 100, always(noResponse), 10, 121},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			sent := playThrottle(newThrottle(cyclicRandom()), 0, 4000, row.perSecond, row.respond)
+			sent := playShedder(newShedder(cyclicRandom()), 0, 4000, row.perSecond, row.respond)
 			quicktest.Assert(t, sent >= row.least && sent <= row.most, quicktest.IsTrue, quicktest.Commentf("%d sent", sent))
 		})
 	}
 }
 
-// TestThrottleEndsWithOverload plays an owner that handles a tenth of a burst and all
+// TestSheddingEndsWithOverload plays an owner that handles a tenth of a burst and all
 // submissions after it. Two seconds later none may be refused.
-func TestThrottleEndsWithOverload(t *testing.T) {
-	throttle := newThrottle(cyclicRandom())
-	burst := playThrottle(throttle, 0, 4000, 500, func(n int) fulmarowner.Response {
+func TestSheddingEndsWithOverload(t *testing.T) {
+	shedder := newShedder(cyclicRandom())
+	burst := playShedder(shedder, 0, 4000, 500, func(n int) fulmarowner.Response {
 		if n%10 == 0 {
 			return acceptedResponse
 		}
@@ -88,6 +88,6 @@
 	})
 	quicktest.Assert(t, burst < 1000, quicktest.IsTrue, quicktest.Commentf("%d of 2000 sent in the burst", burst))
 	accept := func(int) fulmarowner.Response { return acceptedResponse }
-	playThrottle(throttle, 4000, 2000, 50, accept)
-	quicktest.Assert(t, playThrottle(throttle, 6000, 1000, 50, accept), quicktest.Equals, 50)
+	playShedder(shedder, 4000, 2000, 50, accept)
+	quicktest.Assert(t, playShedder(shedder, 6000, 1000, 50, accept), quicktest.Equals, 50)
 }
