--- a/internal/fulmarfront/shedder_test.go
+++ b/internal/fulmarfront/shedder_test.go
@@ -26,8 +26,8 @@
 	count := int(duration) * perSecond / 1000
 	for i := range count {
 		now := start + fulmarclock.Millis(i*1000/perSecond)
-		if t.allows(now) {
-			t.record(now, respond(sent))
+		if s.allows(now) {
+			s.record(now, respond(sent))
 			sent++
 		}
 	}
