Owner: a request without a response after a panic has an unknown outcome

Found by reading the diff.

Change: an unanswered request of a term that ended with a panic is Unknown. TestPanicEndsTermOnly checks it; the check fails before.

--- a/internal/fulmarowner/intake.go
+++ b/internal/fulmarowner/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
@@ -31,15 +32,20 @@
 }
 
 // lateResponse returns the response to a request of a term that has ended. A request without
-// one was queued after the end, so the scheduler never received it.
+// one was queued after the end, so the scheduler never received it. After a panic it may also
+// be one that the scheduler was handling, and the journal may hold it.
 func (t *term) lateResponse(responses <-chan Response) Response {
 	select {
 	case response := <-responses:
 		response.Token = t.ownership.Token()
 		return response
 	default:
-		return Response{Outcome: NotOwner}
 	}
+	var panicked *panicError
+	if errors.As(t.failure, &panicked) {
+		return Response{Outcome: Unknown, Reason: "ownership-lost", Token: t.ownership.Token()}
+	}
+	return Response{Outcome: NotOwner}
 }
 
 // handle applies a request to the scheduler. It returns true if the response must wait
--- a/internal/fulmarowner/term_test.go
+++ b/internal/fulmarowner/term_test.go
@@ -266,6 +266,9 @@
 	})
 	var failure *panicError
 	h.c.Assert(errors.As(first.failure, &failure), quicktest.IsTrue)
+	// A request that got no response before the panic may be in the journal.
+	unanswered := make(chan Response, 1)
+	h.c.Assert(first.lateResponse(unanswered).Outcome, quicktest.Equals, Unknown)
 	h.c.Assert(h.ask(Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, Done)
 	h.advanceBy(fulmarclock.Second)
 	h.c.Assert(h.executors.countStarts(), quicktest.Equals, 1)
