--- /dev/null
+++ b/review/standin/member.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// settingsTemplate is what the platform makes of deploy/settings.jsonc for a small deployment.
+const settingsTemplate = `{
+  "member": %q, "region": "region-a", "data_centre": "zone-a",
+  "callers": %q, "ready": %q, "peers": %q, "metrics": %q,
+  "store": %q, "fleet": %q,
+  "memory_mb": 284, "cores": 0.4, "link_mbps": 1000.0,
+  "bounds": {"lease_min_ms": 1000, "hold_max_ms": 10000, "stop_within_ms": 900, "status_kept_s": 120, "fleet_turn_ms": 3000, "upkeep_s": 2, "move_s": 1.5, "stop_process_s": 6},
+}
+`
+
+// program is the program of the deploy file, in the root of the repository.
+const program = "target/fulmarnoded"
+
+// member is a process of the system.
+type member struct {
+	name    string
+	callers string
+	process *exec.Cmd
+	ended   chan struct{}
+	logPath string
+	once    sync.Once
+}
+
+// freeAddress returns an address on the loopback interface that nothing listens on.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close() //nolint:errcheck // nothing was sent
+	return listener.Addr().String(), nil
+}
+
+// startMember starts a member.
+func (w *world) startMember(name string) (*member, error) {
+	var addresses [4]string
+	for i := range addresses {
+		var err error
+		if addresses[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	settings := filepath.Join(w.scratch, name+".jsonc")
+	text := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], w.store.address, w.fleet.address)
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	m := &member{name: name, callers: addresses[0], ended: make(chan struct{}), logPath: filepath.Join(w.scratch, name+".log")}
+	output, err := os.Create(m.logPath)
+	if err != nil {
+		return nil, err
+	}
+	defer output.Close() //nolint:errcheck // the process has its own descriptor
+	m.process = exec.Command(program)
+	m.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FULMARDRUM_BOOT=" + settings}
+	m.process.Stdout, m.process.Stderr = output, output
+	if err := m.process.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		_ = m.process.Wait() // a killed process has no other state
+		close(m.ended)
+	}()
+	w.mu.Lock()
+	w.members = append(w.members, m)
+	w.mu.Unlock()
+	w.log("member %s starts", name)
+	return m, nil
+}
+
+// signal sends a signal to the member.
+func (m *member) signal(s syscall.Signal) { _ = m.process.Process.Signal(s) } // it may have ended
+
+// kill kills the member and waits for its end.
+func (m *member) kill() {
+	m.once.Do(func() {
+		m.signal(syscall.SIGKILL)
+		<-m.ended
+	})
+}
+
+// owner returns the member that owns the scheduler by the store, nil if there is none.
+func (w *world) owner() *member {
+	value := string(w.store.value("fulmardrum/owner"))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.members {
+		if strings.Contains(value, `"member":"`+m.name+`"`) {
+			return m
+		}
+	}
+	return nil
+}
+
+// startMembers starts a number of members and waits until one owns the scheduler and all answer
+// clients.
+func (w *world) startMembers(count int, host, prefix string) error {
+	for i := range count {
+		if _, err := w.startMember(fmt.Sprintf("frontend-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	ready := func() bool {
+		for _, m := range w.members {
+			if status, _ := w.ask(m, "GET", host, prefix, ""); status != 200 {
+				return false
+			}
+		}
+		return w.owner() != nil
+	}
+	if !waitFor(20*time.Second, ready) {
+		return fmt.Errorf("the members did not become ready")
+	}
+	w.log("member %s owns the scheduler", w.owner().name)
+	return nil
+}
