review: case 2, a gang that failed once is shown as failed for good

Each member of a gang that ends failed raises the count that the gang shares, so one run of a gang counts as often as members of it have failed. A gang of four tasks on an executor that fails all that it starts has used up max_attempts = 4 with one run.

Shown by review/2/run.sh: one of twelve executors is grey.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// maxAttempts is how often a task or a gang of a queue may fail.
+const maxAttempts = 4
+
 // requestTimeout is how long a client waits for a response.
 const requestTimeout = 3 * time.Second
 
@@ -109,7 +112,7 @@
 	for _, r := range routes {
 		rows = append(rows, map[string]any{
 			"name": "r-" + r.service, "host": r.host, "prefix": r.prefix, "kind": "unsafe", "timeout_ms": 3000,
-			"target_latency_ms": 600, "priority": 0, "service": r.service, "max_attempts": 4, "slack_factor": r.slack,
+			"target_latency_ms": 600, "priority": 0, "service": r.service, "max_attempts": maxAttempts, "slack_factor": r.slack,
 		})
 	}
 	for _, s := range services {
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -104,7 +104,7 @@
 				}
 			}
 		}
-		violations = append(violations, fmt.Sprintf("LOST: job %s is shown as %q after %d ends \"failed\" of 4 permitted (%s)", id, state, failed, strings.Join(ends, ", ")))
+		violations = append(violations, fmt.Sprintf("LOST: job %s is shown as %q after %d ends \"failed\" of %d permitted (%s)", id, state, failed, maxAttempts, strings.Join(ends, ", ")))
 	}
 	return violations
 }
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -40,6 +40,8 @@
 	// Millis is how long a task runs, StepMillis is added for each index. Zero: until it is stopped.
 	Millis     int64 `json:"millis"`
 	StepMillis int64 `json:"step_millis"`
+	// Gang is the number of tasks that work only together, zero if each works by itself.
+	Gang int `json:"gang,omitempty"`
 }
 
 // end is an end that was not taken note of.
@@ -62,6 +64,9 @@
 	started time.Time
 	server  *http.Server
 
+	// grey executors fail each run as they start it.
+	grey bool
+
 	mu      sync.Mutex
 	token   int64
 	lease   int64
@@ -244,7 +249,14 @@
 	e.running[c.Task] = started
 	e.world.addRun(started)
 	e.world.log("start %s run %d on %s", c.Task, c.Number, e.id)
-	if started.job.Millis == 0 {
+	switch {
+	case e.grey:
+		e.endRun(started, "failed")
+		return
+	case started.job.Gang > 0:
+		e.world.joinGang(e, started)
+		return
+	case started.job.Millis == 0:
 		return
 	}
 	var index int64
@@ -253,13 +265,7 @@
 		_, _ = fmt.Sscan(c.Task[i:], &index) // the digits after the last dot
 	}
 	length := time.Duration(started.job.Millis+index*started.job.StepMillis) * time.Millisecond
-	started.stop = time.AfterFunc(length, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if e.running[c.Task] == started {
-			e.endRun(started, "done")
-		}
-	})
+	started.stop = time.AfterFunc(length, func() { e.endIfRunning(started, "done") })
 }
 
 // endRun ends a run and lists its end. The caller holds e.mu.
@@ -274,6 +280,18 @@
 	e.world.log("end %s run %d on %s: %s, number %d", r.Task, r.Number, e.id, how, e.number)
 	close(e.changed)
 	e.changed = make(chan struct{})
+	if r.job.Gang > 0 {
+		e.world.breakGang(r)
+	}
+}
+
+// endIfRunning ends a run unless it has ended.
+func (e *executor) endIfRunning(r *run, how string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running[r.Task] == r {
+		e.endRun(r, how)
+	}
 }
 
 func (e *executor) serveStop(rw http.ResponseWriter, r *http.Request) {
@@ -289,13 +307,7 @@
 	e.world.log("stop %s run %d on %s", c.Task, c.Number, e.id)
 	e.highest[c.Task] = max(e.highest[c.Task], c.Number)
 	if current := e.running[c.Task]; current != nil && current.Number <= c.Number {
-		time.AfterFunc(stopMillis*time.Millisecond, func() {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			if e.running[c.Task] == current {
-				e.endRun(current, "stopped")
-			}
-		})
+		time.AfterFunc(stopMillis*time.Millisecond, func() { e.endIfRunning(current, "stopped") })
 	}
 	respond(rw, http.StatusOK, map[string]int64{"clock_ms": e.clock(), "born": e.born})
 }
