review: case 2, orders of a former owner arrive after those of its successor

An order about a machine that is held up by a cut is delivered when the cut ends: its connection is closed after the timeout, not reset. Where fences aren't checked, a lower token then arrives after a higher one.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,12 +3,16 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
-// moveMillis is how long a machine moves to another pool.
-const moveMillis = 1500
+// moveMillis is how long a machine moves to another pool, upkeepMillis how long its upkeep takes.
+const (
+	moveMillis   = 1500
+	upkeepMillis = 2000
+)
 
 // machine is a machine of the platform.
 type machine struct {
@@ -21,6 +25,21 @@
 	executor *executor
 }
 
+// order is a command about a machine, as it arrived at the platform.
+type order struct {
+	At      int64
+	Machine string
+	Call    string
+	Holder  string
+	Token   int64
+}
+
+// upkeepKey identifies the upkeep of a machine in a wave.
+type upkeepKey struct {
+	wave    int
+	machine string
+}
+
 // fleet simulates the platform's list of machines.
 type fleet struct {
 	world   *world
@@ -28,11 +47,28 @@
 
 	mu       sync.Mutex
 	machines []*machine
+	orders   []order
+	// upkeeps are the requested upkeeps, true once they have begun.
+	upkeeps map[upkeepKey]bool
 	// standby is the pool whose machines are off.
 	standby string
 }
 
-func newFleet(w *world) *fleet { return &fleet{world: w} }
+func newFleet(w *world) *fleet { return &fleet{world: w, upkeeps: map[upkeepKey]bool{}} }
+
+// addWave makes the upkeep of a machine in a wave known.
+func (f *fleet) addWave(wave int, machine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upkeeps[upkeepKey{wave, machine}] = false
+}
+
+// ordersSoFar returns the commands in the order of their arrival.
+func (f *fleet) ordersSoFar() []order {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]order(nil), f.orders...)
+}
 
 // add adds a machine to a pool and starts its executor, unless the pool is on standby.
 func (f *fleet) add(name, pool, rack string) (*machine, error) {
@@ -77,6 +113,8 @@
 		f.serveList(rw)
 	case "/fulmardrum/machine-move":
 		f.serveMove(rw, r)
+	case "/fulmardrum/machine-upkeep":
+		f.serveUpkeep(rw, r)
 	default:
 		respond(rw, http.StatusNotFound, nil)
 	}
@@ -109,14 +147,77 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.takeOrder(r, "move to "+body.Pool, body.Machine)
+	if m := f.find(body.Machine); m != nil {
+		f.move(rw, m, body.Pool)
+		return
+	}
+	respond(rw, http.StatusBadRequest, nil)
+}
+
+// takeOrder adds a command to the list. The caller holds f.mu.
+func (f *fleet) takeOrder(r *http.Request, call, name string) {
+	token, _ := strconv.ParseInt(r.Header.Get("X-Fencing-Token"), 10, 64) // a missing token counts as 0
+	o := order{At: f.world.now(), Machine: name, Call: call, Holder: r.Header.Get("X-Duty-Holder"), Token: token}
+	f.orders = append(f.orders, o)
+	state := "unknown"
+	if m := f.find(name); m != nil {
+		state = m.state
+	}
+	f.world.log("order of %s with token %d: %s of machine %s, whose state is %s", o.Holder, o.Token, call, name, state)
+}
+
+// find returns a machine by its name, nil if there is none. The caller holds f.mu.
+func (f *fleet) find(name string) *machine {
 	for _, m := range f.machines {
-		if m.name == body.Machine {
-			f.world.log("order by %s with token %s: machine %s moves from %s to %s, state %s", r.Header.Get("X-Duty-Holder"), r.Header.Get("X-Fencing-Token"), m.name, m.pool, body.Pool, m.state)
-			f.move(rw, m, body.Pool)
-			return
+		if m.name == name {
+			return m
 		}
 	}
-	respond(rw, http.StatusBadRequest, nil)
+	return nil
+}
+
+func (f *fleet) serveUpkeep(rw http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Machine string `json:"machine"`
+		Wave    int    `json:"wave"`
+	}
+	if !decode(rw, r, &body) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.takeOrder(r, fmt.Sprintf("upkeep for wave %d", body.Wave), body.Machine)
+	m := f.find(body.Machine)
+	begun, requested := f.upkeeps[upkeepKey{body.Wave, body.Machine}]
+	switch {
+	case m == nil:
+		respond(rw, http.StatusBadRequest, nil)
+	case !requested:
+		respond(rw, http.StatusConflict, map[string]string{"reason": "wave"})
+	case begun:
+		respond(rw, http.StatusOK, map[string]any{})
+	case m.state != "up":
+		respond(rw, http.StatusConflict, map[string]string{"reason": "busy"})
+	default:
+		f.upkeeps[upkeepKey{body.Wave, body.Machine}] = true
+		f.world.log("machine %s goes down for wave %d", m.name, body.Wave)
+		m.executor.leave()
+		f.comeBack(m, "upkeep", upkeepMillis)
+		respond(rw, http.StatusOK, map[string]any{})
+	}
+}
+
+// comeBack starts the next executor of a machine after a time. The caller holds f.mu.
+func (f *fleet) comeBack(m *machine, state string, millis int) {
+	m.state = state
+	time.AfterFunc(time.Duration(millis)*time.Millisecond, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if err := f.startLife(m); err != nil {
+			f.world.log("machine %s did not come back: %v", m.name, err)
+		}
+	})
 }
 
 // move moves a machine. The caller holds f.mu.
@@ -132,13 +233,7 @@
 	if m.executor != nil && m.pool != f.standby {
 		m.executor.leave()
 	}
-	m.pool, m.state = pool, "moving"
-	time.AfterFunc(moveMillis*time.Millisecond, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if err := f.startLife(m); err != nil {
-			f.world.log("machine %s did not arrive: %v", m.name, err)
-		}
-	})
+	m.pool = pool
+	f.comeBack(m, "moving", moveMillis)
 	respond(rw, http.StatusOK, map[string]any{})
 }
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -32,17 +33,29 @@
 	process *exec.Cmd
 	ended   chan struct{}
 	logPath string
-	once    sync.Once
+	// links are the member's connections to the platform, if they can be cut.
+	links []*link
+	once  sync.Once
 }
 
+// The members listen on ports below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	ports     = 10000
+	portTries = 50
+)
+
 // freeAddress returns an address on the loopback interface that nothing listens on.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close() //nolint:errcheck // nothing was sent
-	return listener.Addr().String(), nil
+	return "", err
 }
 
 // startMember starts a member.
@@ -54,12 +67,16 @@
 			return nil, err
 		}
 	}
+	storeAddress, fleetAddress, links, err := w.platformAddresses()
+	if err != nil {
+		return nil, err
+	}
 	settings := filepath.Join(w.scratch, name+".jsonc")
-	text := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], w.store.address, w.fleet.address)
+	text := fmt.Sprintf(settingsTemplate, name, addresses[0], addresses[1], addresses[2], addresses[3], storeAddress, fleetAddress)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	m := &member{name: name, callers: addresses[0], ended: make(chan struct{}), logPath: filepath.Join(w.scratch, name+".log")}
+	m := &member{name: name, callers: addresses[0], links: links, ended: make(chan struct{}), logPath: filepath.Join(w.scratch, name+".log")}
 	output, err := os.Create(m.logPath)
 	if err != nil {
 		return nil, err
@@ -82,6 +99,22 @@
 	return m, nil
 }
 
+// platformAddresses returns the addresses of the store and of the list of machines for a new member, and
+// the links to them if the case cuts members off.
+func (w *world) platformAddresses() (storeAddress, fleetAddress string, links []*link, err error) {
+	if !w.useLinks {
+		return w.store.address, w.fleet.address, nil, nil
+	}
+	for _, target := range []string{w.store.address, w.fleet.address} {
+		l, err := newLink(target)
+		if err != nil {
+			return "", "", nil, err
+		}
+		links = append(links, l)
+	}
+	return links[0].address, links[1].address, links, nil
+}
+
 // signal sends a signal to the member.
 func (m *member) signal(s syscall.Signal) { _ = m.process.Process.Signal(s) } // it may have ended
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -20,6 +20,8 @@
 	fleet   *fleet
 	// scratch is a temporary folder for settings and logs.
 	scratch string
+	// useLinks connects each member to the platform through links of its own.
+	useLinks bool
 
 	mu        sync.Mutex
 	record    *os.File
