--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -191,7 +191,7 @@
 	e.lease = max(e.lease, min(deadline, e.clock()+maxLeaseMillis))
 }
 
-// expireLease ends everything that runs once the lease has expired, until the executor ends.
+// expireLease ends everything that runs while the lease has expired, until the executor ends.
 func (e *executor) expireLease() {
 	for {
 		time.Sleep(5 * time.Millisecond)
@@ -200,13 +200,13 @@
 			e.mu.Unlock()
 			return
 		}
-		if len(e.running) > 0 && e.clock() >= e.lease {
-			for _, r := range e.running {
-				e.endRun(r, "lapsed")
-			}
+		if e.lease > 0 && e.clock() >= e.lease {
 			for _, f := range e.ends {
 				f.run.LapsedAfterEnd = true
 			}
+			for _, r := range e.running {
+				e.endRun(r, "lapsed")
+			}
 		}
 		e.mu.Unlock()
 	}
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -38,18 +38,24 @@
 	once  sync.Once
 }
 
-// The members listen on ports below those that the system gives to outgoing connections.
+// The members listen on ports below those that the system gives to outgoing connections, each case on
+// ports that follow a random one.
 const (
 	firstPort = 20000
-	ports     = 10000
-	portTries = 50
+	lastPort  = 31000
+	portTries = 500
 )
 
-// freeAddress returns an address on the loopback interface that nothing listens on.
+// nextPort is the port that the next address is tried with.
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
+// freeAddress returns an address on the loopback interface that nothing listens on, another one each
+// time.
 func freeAddress() (string, error) {
 	var err error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		var listener net.Listener
 		if listener, err = net.Listen("tcp", address); err == nil {
 			return address, listener.Close()
@@ -156,8 +162,24 @@
 		return w.owner() != nil
 	}
 	if !waitFor(20*time.Second, ready) {
+		w.logMembers()
 		return fmt.Errorf("the members did not become ready")
 	}
 	w.log("member %s owns the scheduler", w.owner().name)
 	return nil
 }
+
+// logMembers adds the end of each member's log to the record.
+func (w *world) logMembers() {
+	const lines = 20
+	for _, m := range w.members {
+		data, err := os.ReadFile(m.logPath)
+		if err != nil {
+			continue
+		}
+		text := strings.Split(strings.TrimSpace(string(data)), "\n")
+		for _, line := range text[max(len(text)-lines, 0):] {
+			w.log("log of %s: %s", m.name, line)
+		}
+	}
+}
