review: case 3, a start that arrives after a restart runs an ended task again

The first attempt of a hedged start gets no answer and arrives 4 s later, at the next incarnation of the executor under its identifier. The task had ended and its end was acknowledged; it runs again.

Shown by review/3/run.sh. It takes the place of the case of two crashes, which is withdrawn: an issue of the users (23) permits to give up a task under which two executors have crashed. The case of the gang is now case 4.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/fulmarnoded ] || exit 2
-exec target/review/standin lost-two-crashes review/4
+exec target/review/standin lost-gang-failure review/4
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -78,8 +78,8 @@
 	changed chan struct{}
 }
 
-// startExecutor starts an executor and writes its entry to the store.
-func (w *world) startExecutor(id, machine, service, rack string) (*executor, error) {
+// startExecutor starts an executor, behind a proxy if there is one, and writes its entry to the store.
+func (w *world) startExecutor(id, machine, service, rack string, proxy executorProxy) (*executor, error) {
 	e := &executor{
 		world: w, id: id, machine: machine, service: service, rack: rack, cpu: 16000, memory: 32768,
 		born: time.Now().UnixMilli(), started: time.Now(), running: map[string]*run{}, highest: map[string]int64{},
@@ -89,6 +89,10 @@
 	if e.server, e.address, err = w.serve(e); err != nil {
 		return nil, err
 	}
+	if proxy != nil {
+		proxy.setTarget(e.address)
+		e.address = proxy.listenAddress()
+	}
 	w.mu.Lock()
 	w.executors = append(w.executors, e)
 	w.mu.Unlock()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -14,6 +14,13 @@
 	upkeepMillis = 2000
 )
 
+// executorProxy is a proxy between the members and the executors of a machine.
+type executorProxy interface {
+	// setTarget sets the address of the present executor; listenAddress is the address for the members.
+	setTarget(address string)
+	listenAddress() string
+}
+
 // machine is a machine of the platform.
 type machine struct {
 	name  string
@@ -23,6 +30,8 @@
 	// lives counts the executors of the machine so far.
 	lives    int
 	executor *executor
+	// proxy serves the address of the machine's executors, if the case uses one.
+	proxy executorProxy
 }
 
 // order is a command about a machine, as it arrived at the platform.
@@ -86,11 +95,39 @@
 		return nil
 	}
 	m.lives++
-	e, err := f.world.startExecutor(fmt.Sprintf("i-%s-%d", m.name, m.lives), m.name, m.pool, m.rack)
+	return f.startExecutor(m, fmt.Sprintf("i-%s-%d", m.name, m.lives))
+}
+
+// startExecutor starts an executor of a machine with an identifier. The caller holds f.mu.
+func (f *fleet) startExecutor(m *machine, id string) error {
+	if f.world.newProxy != nil && m.proxy == nil {
+		proxy, err := f.world.newProxy()
+		if err != nil {
+			return err
+		}
+		m.proxy = proxy
+	}
+	e, err := f.world.startExecutor(id, m.name, m.pool, m.rack, m.proxy)
 	m.executor = e
 	return err
 }
 
+// restart crashes the executor of a machine, which starts again under its identifier after a time.
+func (f *fleet) restart(m *machine, down time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.state = "down"
+	m.executor.end("crashed")
+	time.AfterFunc(down, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		m.state = "up"
+		if err := f.startExecutor(m, m.executor.id); err != nil {
+			f.world.log("machine %s did not restart: %v", m.name, err)
+		}
+	})
+}
+
 // crash crashes the executor of a machine, which is back after a time.
 func (f *fleet) crash(m *machine, down time.Duration) {
 	f.mu.Lock()
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -12,11 +12,12 @@
 // bytes are held up in both directions. They arrive after the cut, unless their sender has reset the
 // connection meanwhile.
 type link struct {
-	target  string
 	address string
 
-	mu  sync.Mutex
-	cut bool
+	mu sync.Mutex
+	// target is where connections go.
+	target string
+	cut    bool
 	// healed is closed when the cut ends.
 	healed chan struct{}
 }
@@ -40,6 +41,15 @@
 	return l, nil
 }
 
+func (l *link) listenAddress() string { return l.address }
+
+// setTarget sets the address to which further connections go.
+func (l *link) setTarget(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = address
+}
+
 // setCut cuts the link, or ends the cut.
 func (l *link) setCut(cut bool) {
 	l.mu.Lock()
@@ -67,7 +77,10 @@
 // connect connects a machine to the target and passes the bytes of both on.
 func (l *link) connect(from *net.TCPConn) {
 	l.awaitHealed()
-	connection, err := net.Dial("tcp", l.target)
+	l.mu.Lock()
+	target := l.target
+	l.mu.Unlock()
+	connection, err := net.Dial("tcp", target)
 	if err != nil {
 		reset(from)
 		return
@@ -116,6 +129,7 @@
 	for {
 		select {
 		case <-wasReset:
+			l.awaitHealed()
 			reset(to)
 			return
 		case c := <-chunks:
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -22,6 +22,8 @@
 	scratch string
 	// useLinks connects each member to the platform through links of its own.
 	useLinks bool
+	// newProxy creates the proxies of the machines' executors; nil for none.
+	newProxy func() (executorProxy, error)
 
 	mu        sync.Mutex
 	record    *os.File
