--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -36,12 +38,11 @@
 		return exitNotRun
 	}
 	defer w.close()
-	timer := time.AfterFunc(caseTimeout, func() {
-		w.log("the case did not end in time")
-		w.close()
-		os.Exit(exitNotRun)
-	})
+	timer := time.AfterFunc(caseTimeout, func() { w.abort("the case did not end in time") })
 	defer timer.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { w.abort("the case was ended by signal " + (<-signals).String()) }()
 	violations, err := cases[name](w)
 	if err != nil {
 		w.log("the case could not run: %v", err)
@@ -60,3 +61,10 @@
 	fmt.Println(name, "the rule was broken", len(violations), "times; the first:", violations[0])
 	return exitBroken
 }
+
+// abort ends a case, with all processes that it started.
+func (w *world) abort(reason string) {
+	w.log("%s", reason)
+	w.close()
+	os.Exit(exitNotRun)
+}
