Scheduler: what a full list of finished runs leaves out is not missing

Cause: an executor lists its unread ends 500 at a time. The scheduler took a placed run that a report lists neither as running nor as ended for gone and ended its placement. With more than 500 unread ends the report is not complete: 299 runs whose ends came later in the list were started again 90 ms before those ends were read.

Change: the adapter says whether a list may go on (MoreFinished; the relay carries it). While it may, no run that is not listed counts as missing, stopped or not started, no restored start is sent again, and the executor gets no new tasks, so that it catches up. A line and the counter partial_reports show it.

Related paths with the same cause: the acknowledgement that makes the next part of the list visible waited for a report to show each start. A run whose end is left out is shown by none, so that it would have waited for ever; it now counts as reported once its start or stop was answered before a report of the same incarnation. Pages of the store's ranges and of the VM list were read: all are followed.

The stand-in lists 500 ends at a time, too.

--- a/internal/fulmarjob/executor.go
+++ b/internal/fulmarjob/executor.go
@@ -91,7 +91,11 @@
 	// ClockTime is the time on the executor's monotonic clock.
 	ClockTime fulmarclock.Millis
 	Running   []RunningTask
-	Finished  []FinishedTask
+	// Finished are the finished runs that are not acknowledged, by sequence number.
+	Finished []FinishedTask
+	// MoreFinished means that the executor may have more finished runs, which follow those in Finished.
+	// A run that is listed nowhere may then have finished.
+	MoreFinished bool
 }
 
 // StartRequest is the content of a command to start a run of a task.
--- a/internal/fulmarrelay/encode.go
+++ b/internal/fulmarrelay/encode.go
@@ -79,7 +79,7 @@
 }
 
 func encodeReport(r fulmarjob.Report) *fulmarrelaypb.Report {
-	report := &fulmarrelaypb.Report{Born: r.Incarnation, ClockMs: int64(r.ClockTime)}
+	report := &fulmarrelaypb.Report{Born: r.Incarnation, ClockMs: int64(r.ClockTime), MoreFinished: r.MoreFinished}
 	for _, t := range r.Running {
 		report.Running = append(report.Running, &fulmarrelaypb.Running{
 			Task: encodeTask(t.Task), Run: t.Run, Saved: t.Checkpoint, Percent: int64(t.ProgressPercent), Recent: t.Measurement,
@@ -94,7 +94,7 @@
 }
 
 func decodeReport(r *fulmarrelaypb.Report) fulmarjob.Report {
-	report := fulmarjob.Report{Incarnation: r.GetBorn(), ClockTime: fulmarclock.Millis(r.GetClockMs())}
+	report := fulmarjob.Report{Incarnation: r.GetBorn(), ClockTime: fulmarclock.Millis(r.GetClockMs()), MoreFinished: r.GetMoreFinished()}
 	for _, t := range r.GetRunning() {
 		report.Running = append(report.Running, fulmarjob.RunningTask{
 			Task: decodeTask(t.GetTask()), Run: t.GetRun(), Checkpoint: t.GetSaved(), ProgressPercent: int(t.GetPercent()), Measurement: t.GetRecent(),
--- a/internal/fulmarrelay/relay_test.go
+++ b/internal/fulmarrelay/relay_test.go
@@ -171,8 +171,9 @@
 		commandResult: fulmarjob.ResultNoCapacity,
 		report: fulmarjob.Report{
 			Incarnation: 5, ClockTime: 6,
-			Running:  []fulmarjob.RunningTask{{Task: task, Run: 2, Checkpoint: "s", ProgressPercent: 40, Measurement: 1.5}},
-			Finished: []fulmarjob.FinishedTask{{Sequence: 9, Task: task, Run: 1, Outcome: fulmarjob.RunFailed, Checkpoint: "t"}},
+			Running:      []fulmarjob.RunningTask{{Task: task, Run: 2, Checkpoint: "s", ProgressPercent: 40, Measurement: 1.5}},
+			Finished:     []fulmarjob.FinishedTask{{Sequence: 9, Task: task, Run: 1, Outcome: fulmarjob.RunFailed, Checkpoint: "t"}},
+			MoreFinished: true,
 		},
 	}
 	s.attach("m", 1, member)
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -56,6 +56,9 @@
 	acknowledged             int64
 	acknowledgementConfirmed int64
 	countsFromStart          bool
+	// moreFinished means that the last report may not have listed all finished runs. What it does not
+	// list may have finished.
+	moreFinished bool
 
 	// claimed is the newest entry of another incarnation that no report has shown, received at
 	// claimedAt; without an ID there is none.
@@ -121,9 +124,10 @@
 // freeCapacity returns the capacity that the placed tasks and the stray runs leave unused.
 func (e *executor) freeCapacity() fulmarjob.Resources { return e.capacityBesideStrays().Sub(e.used) }
 
-// isSchedulable reports whether new tasks may be placed on the executor.
+// isSchedulable reports whether new tasks may be placed on the executor. One with more finished runs
+// than it lists is left to catch up.
 func (e *executor) isSchedulable(now fulmarclock.Millis) bool {
-	return e.listed && !e.retired && e.tokenAccepted && !e.hasClaim() && e.supersededAt == 0 && !e.info.Draining && !e.cordoned && e.failedRenewals == 0 && now >= e.avoidUntil
+	return e.listed && !e.retired && e.tokenAccepted && !e.hasClaim() && e.supersededAt == 0 && !e.info.Draining && !e.cordoned && e.failedRenewals == 0 && !e.moreFinished && now >= e.avoidUntil
 }
 
 // clockLowerBound returns a lower bound of the executor's clock at the scheduler's time now.
--- a/internal/fulmarsched/fakeexecutor_test.go
+++ b/internal/fulmarsched/fakeexecutor_test.go
@@ -125,7 +125,9 @@
 }
 
 func (e *fakeExecutor) report() fulmarjob.Report {
-	report := fulmarjob.Report{Incarnation: e.info.Incarnation, ClockTime: e.clock(), Finished: slices.Clone(e.finished)}
+	listed := e.finished[:min(len(e.finished), e.sim.maxListedFinished)]
+	report := fulmarjob.Report{Incarnation: e.info.Incarnation, ClockTime: e.clock(), Finished: slices.Clone(listed)}
+	report.MoreFinished = len(listed) == e.sim.maxListedFinished
 	for _, r := range e.running {
 		percent := 50
 		if e.sim.stepOf(r.task).LongRunning && e.sim.now >= r.startedAt+300 {
--- a/internal/fulmarsched/incarnation.go
+++ b/internal/fulmarsched/incarnation.go
@@ -68,6 +68,7 @@
 	e.forgetStrayRuns(s.now)
 	e.hasClock, e.tokenAccepted, e.clock, e.renewalInFlight = false, false, 0, false
 	e.finishedSeen, e.acknowledged, e.acknowledgementConfirmed, e.countsFromStart = 0, 0, 0, true
+	e.moreFinished = false
 	e.lastDeadline, e.hasListedVM = 0, false
 	s.clearUnresponsive(e)
 	e.leasesEndBy = maxLeaseEnd(s.now, s.params.MaxLease)
--- a/internal/fulmarsched/placement.go
+++ b/internal/fulmarsched/placement.go
@@ -96,7 +96,8 @@
 		s.stopRun(t)
 		return
 	}
-	if t.startsSent == 0 && t.confirmedAt == 0 && !t.stopping && e.tokenAccepted {
+	mayHaveEnded := t.inherited && e.moreFinished
+	if t.startsSent == 0 && t.confirmedAt == 0 && !t.stopping && e.tokenAccepted && !mayHaveEnded {
 		s.sendStart(t)
 		return
 	}
--- a/internal/fulmarsched/randomrestart_test.go
+++ b/internal/fulmarsched/randomrestart_test.go
@@ -96,6 +96,9 @@
 
 func repeatStart(s *simulation, _ *randomSource) { s.repeatsNext = isStart }
 
+// listFew makes executors list fewer finished runs than are often unread.
+func listFew(s *simulation, random *randomSource) { s.maxListedFinished = 1 + random.intN(3) }
+
 var plays = []play{
 	{name: "restarts", steps: shortSteps},
 	{name: "odd entries", steps: shortSteps, faults: []func(*simulation, *randomSource){leaveOddEntry}},
@@ -105,6 +108,8 @@
 	{name: "clocks set back", steps: shortSteps, faults: []func(*simulation, *randomSource){setClockBack}},
 	{name: "gangs", steps: gangSteps, faults: []func(*simulation, *randomSource){repeatStart}},
 	{name: "lasting steps", steps: lastingSteps, faults: []func(*simulation, *randomSource){cancelJob}},
+	{name: "short lists", steps: shortSteps, faults: []func(*simulation, *randomSource){removeEntry, cancelJob}, setUp: listFew},
+	{name: "short lists of gangs", steps: gangSteps, faults: []func(*simulation, *randomSource){repeatStart, cancelJob}, setUp: listFew},
 	{name: "late commands that outlive the executor", steps: shortSteps, setUp: func(s *simulation, _ *randomSource) { s.lateCommandsSurvive = true }},
 	{name: "mix", steps: gangSteps, faults: []func(*simulation, *randomSource){removeEntry, cancelJob, changeCapacity, repeatStart, setClockBack}},
 }
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -61,13 +61,20 @@
 // is sent together with an acknowledgement can't end before that arrives.
 func (s *Scheduler) hasUnreportedStart(e *executor) bool {
 	for _, t := range e.tasks {
-		if t.runningSince == 0 && t.startsSent > 0 && t.startSentAt < s.now {
+		if t.runningSince == 0 && t.startsSent > 0 && t.startSentAt < s.now && !t.mayBeUnlisted() {
 			return true
 		}
 	}
 	return false
 }
 
+// mayBeUnlisted reports whether the end of a run is among those that the last report has left out: the
+// executor answered the start or the stop before, and still was the same incarnation.
+func (t *task) mayBeUnlisted() bool {
+	answeredAt := max(t.confirmedAt, t.stopConfirmedAt)
+	return t.executor.moreFinished && answeredAt > 0 && answeredAt < t.executor.reportSentAt
+}
+
 // scheduleAcknowledgement schedules the renewal that acknowledges finished runs. If a report has to
 // come first, that is not urgent.
 func (s *Scheduler) scheduleAcknowledgement(e *executor) {
@@ -139,6 +146,7 @@
 	if tokenWasAccepted || e.countsFromStart {
 		s.logUnreadEnds(e, report.Finished)
 	}
+	s.noteUnlisted(e, report)
 	s.handleFinished(e, report.Finished)
 	s.reconcileRunning(e, sentAt, report.Running)
 	s.adjustSpeeds(e)
--- a/internal/fulmarsched/report.go
+++ b/internal/fulmarsched/report.go
@@ -26,6 +26,22 @@
 	}
 }
 
+// noteUnlisted records whether a report may leave finished runs out, and logs when that changes.
+func (s *Scheduler) noteUnlisted(e *executor, report fulmarjob.Report) {
+	if report.MoreFinished {
+		s.log.Count("partial_reports", "")
+	}
+	if report.MoreFinished == e.moreFinished {
+		return
+	}
+	e.moreFinished = report.MoreFinished
+	if !e.moreFinished {
+		s.log.Log("executor lists all finished runs again", "executor", e.info.ID, "read_until", e.finishedSeen)
+		return
+	}
+	s.log.Log("executor may have more finished runs than it lists; ending no placement that it does not report", "executor", e.info.ID, "listed", len(report.Finished), "tasks", len(e.tasks), "acknowledged", e.acknowledged)
+}
+
 // updateRunning updates a task from its entry in a report.
 func (s *Scheduler) updateRunning(t *task, r fulmarjob.RunningTask) {
 	s.confirmRun(t)
@@ -45,17 +61,20 @@
 	s.clearSuspicion(t)
 }
 
-// handleMissing handles a placed task that an executor reports neither as running nor as finished.
+// handleMissing handles a placed task that an executor reports neither as running nor as finished. Its
+// run may have finished if the executor has more finished runs than it lists.
 func (s *Scheduler) handleMissing(t *task, sentAt fulmarclock.Millis) {
 	switch {
+	case t.uncertain && !t.stopping:
+		if t.startSentAt < sentAt {
+			s.stopRun(t)
+		}
+	case t.executor.moreFinished:
+		return
 	case t.stopping:
 		if t.stopConfirmedAt > 0 && t.stopConfirmedAt < sentAt {
 			s.endPlacement(t, "its run was stopped")
 		}
-	case t.uncertain:
-		if t.startSentAt < sentAt {
-			s.stopRun(t)
-		}
 	case t.confirmedAt > 0 && t.confirmedAt < sentAt:
 		s.log.Count("missing_runs", "")
 		s.endPlacement(t, "its executor does not report the run")
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -100,6 +100,8 @@
 	// the test. A capacity that shrank counts capacityGrace later.
 	withoutAdmissionControl bool
 	capacityGrace           fulmarclock.Millis
+	// maxListedFinished limits the finished runs that a report lists.
+	maxListedFinished int
 	// longPolls makes executors delay their reports as requested.
 	longPolls bool
 	// refusesOtherIncarnation makes an executor refuse starts that were meant for an earlier
@@ -123,7 +125,8 @@
 		commandDelay: func(int) fulmarclock.Millis { return 0 },
 		appendDelay:  func() fulmarclock.Millis { return 0 },
 		check:        func() {}, adviceAllows: func(string) bool { return true }, configuration: testConfiguration(),
-		crashDowntime: 3200, crashesUnder: map[fulmarjob.TaskID][]fulmarclock.Millis{}, endsLost: map[fulmarjob.TaskID]int{},
+		maxListedFinished: 500,
+		crashDowntime:     3200, crashesUnder: map[fulmarjob.TaskID][]fulmarclock.Millis{}, endsLost: map[fulmarjob.TaskID]int{},
 	}
 	for i := range executors {
 		sim.addExecutor(fmt.Sprintf("x-%d", i), fmt.Sprintf("vm-%d", i))
--- a/internal/fulmarstandin/fulmarrig/executor.go
+++ b/internal/fulmarstandin/fulmarrig/executor.go
@@ -15,6 +15,9 @@
 // defaultRunDuration is the duration of a run if Options.SimulateRun is nil.
 const defaultRunDuration = 200 * fulmarclock.Millis(1)
 
+// maxListedFinished limits the unacknowledged runs in a report.
+const maxListedFinished = 500
+
 // executor simulates one incarnation of a VM's executor. After a crash, a move or a maintenance of the
 // VM, the next one has a new ID and address. After Rig.Restart it has the same.
 type executor struct {
@@ -334,7 +337,7 @@
 	})
 }
 
-// writeReport responds with the active runs, the unacknowledged ones and the executor's
+// writeReport responds with the active runs, the first unacknowledged ones and the executor's
 // incarnation and clock time. A crashed executor and a caller that has left get no report.
 func (e *executor) writeReport(w http.ResponseWriter, q *http.Request) {
 	if q.Context().Err() != nil {
@@ -350,7 +353,7 @@
 		rows = append(rows, []any{task, active.run.Number, "", 100, 0})
 	}
 	finished := [][5]any{}
-	for _, f := range e.unacknowledged {
+	for _, f := range e.unacknowledged[:min(len(e.unacknowledged), maxListedFinished)] {
 		finished = append(finished, f.row())
 		e.reportedSequence = max(e.reportedSequence, f.sequence)
 	}
