Scheduler: a run of a gang counts once as failed

Cause: the members of a gang share their run number and their count of attempts, and each failed end raised that count. A gang with as many members as attempts, placed on one faulty executor, had one run.

Records without it count as before.

Why it works: a task counts at most once per run number, and a member starts with a run number only after all members have left the one before, so that attempts is the number of runs in which any member failed. That is at least each member's own number of failed runs, which max_attempts limits.

--- a/internal/fulmarsched/finishedrun.go
+++ b/internal/fulmarsched/finishedrun.go
@@ -142,24 +142,34 @@
 	}
 }
 
-// handleFailure counts a failed run. The job fails when the task has used up its attempts;
-// otherwise the task is placed again. The members of a gang share the count, since they fail
-// together.
+// handleFailure handles a failed run. The job fails when the task has used up its attempts;
+// otherwise the task is placed again.
 func (s *Scheduler) handleFailure(e *executor, t *task) {
-	t.attempts++
+	t.countFailure()
 	t.failedOn = e.info.ID
 	s.recordOutcome(e, t, true)
 	s.endPlacement(t, "its run failed")
-	if t.step.Gang {
-		for _, m := range t.job.findOccurrence(t.id.Occurrence).steps[t.id.Step] {
-			m.attempts = max(m.attempts, t.attempts)
-		}
-	}
 	if !t.step.LongRunning && t.attempts >= t.job.queue.MaxAttempts {
 		s.endJob(t.job, fulmarjob.Failed, "a task used up its attempts")
 	}
 }
 
+// countFailure counts the current run as a failed attempt. The members of a gang share their run
+// numbers, so a run counts once however many of them fail in it.
+func (t *task) countFailure() {
+	if t.failedRun == t.run {
+		return
+	}
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.occurrence.steps[t.id.Step]
+	}
+	attempts := t.attempts + 1
+	for _, m := range members {
+		m.attempts, m.failedRun = attempts, t.run
+	}
+}
+
 // recordOutcome detects outliers among the executors: it pauses placement on an executor on which
 // tasks of several jobs failed without a success in between.
 func (s *Scheduler) recordOutcome(e *executor, t *task, failed bool) {
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -27,9 +27,11 @@
 
 	// state is changed only by setState.
 	state taskState
-	// run is the number of the current or last run, attempts the number of failed runs.
+	// run is the number of the current or last run, attempts the number of failed runs, failedRun the
+	// number of the last of them. The members of a gang share the latter two.
 	run        int64
 	attempts   int
+	failedRun  int64
 	checkpoint string
 	// crashes is the number of executors that may have crashed under the task, confirmedCrashes of
 	// those on which it was present; suspect means that it may have caused a crash. suspect is
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -44,6 +44,7 @@
 	State       taskState `json:"s,omitempty"`
 	Run         int64     `json:"r,omitempty"`
 	Attempts    int       `json:"a,omitempty"`
+	FailedRun   int64     `json:"f,omitempty"`
 	Executor    string    `json:"e,omitempty"`
 	Incarnation int64     `json:"b,omitempty"`
 	// VM is the VM of the executor: a later incarnation on the same VM ends this one.
@@ -165,7 +166,7 @@
 	for _, tasks := range o.steps {
 		records := make([]taskRecord, len(tasks))
 		for i, t := range tasks {
-			records[i] = taskRecord{State: t.state, Run: t.run, Attempts: t.attempts, Checkpoint: t.checkpoint, Started: t.job.started, Moving: t.moving, Crashes: t.crashes, ConfirmedCrashes: t.confirmedCrashes, Suspect: t.suspect}
+			records[i] = taskRecord{State: t.state, Run: t.run, Attempts: t.attempts, FailedRun: t.failedRun, Checkpoint: t.checkpoint, Started: t.job.started, Moving: t.moving, Crashes: t.crashes, ConfirmedCrashes: t.confirmedCrashes, Suspect: t.suspect}
 			if t.state == taskPlaced {
 				records[i].Executor, records[i].Incarnation, records[i].VM = t.executor.info.ID, t.executor.info.Incarnation, t.executor.info.VM
 			}
--- a/internal/fulmarsched/restore.go
+++ b/internal/fulmarsched/restore.go
@@ -133,7 +133,7 @@
 		}
 		for k, record := range records {
 			t := o.steps[i][k]
-			t.run, t.attempts, t.checkpoint = record.Run, record.Attempts, record.Checkpoint
+			t.run, t.attempts, t.failedRun, t.checkpoint = record.Run, record.Attempts, record.FailedRun, record.Checkpoint
 			t.job.started = t.job.started || record.Started
 			t.crashes, t.confirmedCrashes = record.Crashes, record.ConfirmedCrashes
 			switch record.State {
