Scheduler: the members of a gang share where it failed

The gang used its attempts up and its job was shown as failed, with enough sound executors idle.

Change: the executor of a gang's failed run is kept for all members.

TestGangIsNotPlacedAgainWhereOneMemberFailed failed before (failed instead of completed, three failed runs instead of one).

--- a/internal/fulmarsched/finishedrun.go
+++ b/internal/fulmarsched/finishedrun.go
@@ -145,8 +145,7 @@
 // handleFailure handles a failed run. The job fails when the task has used up its attempts;
 // otherwise the task is placed again.
 func (s *Scheduler) handleFailure(e *executor, t *task) {
-	t.countFailure()
-	t.failedOn = e.info.ID
+	t.countFailure(e)
 	s.recordOutcome(e, t, true)
 	s.endPlacement(t, "its run failed")
 	if !t.step.LongRunning && t.attempts >= t.job.queue.MaxAttempts {
@@ -154,19 +153,20 @@
 	}
 }
 
-// countFailure counts the current run as a failed attempt. The members of a gang share their run
-// numbers, so a run counts once however many of them fail in it.
-func (t *task) countFailure() {
-	if t.failedRun == t.run {
-		return
-	}
+// countFailure counts the current run, which failed on e, as a failed attempt. The members of a gang
+// share their run numbers, so a run counts once however many of them fail in it. All of them then
+// prefer other executors than e, as another member would fail there too.
+func (t *task) countFailure(e *executor) {
 	members := []*task{t}
 	if t.step.Gang {
 		members = t.occurrence.steps[t.id.Step]
 	}
-	attempts := t.attempts + 1
+	attempts := t.attempts
+	if t.failedRun != t.run {
+		attempts++
+	}
 	for _, m := range members {
-		m.attempts, m.failedRun = attempts, t.run
+		m.attempts, m.failedRun, m.failedOn = attempts, t.run, e.info.ID
 	}
 }
 
--- a/internal/fulmarsched/gangfailure_test.go
+++ b/internal/fulmarsched/gangfailure_test.go
@@ -117,3 +117,18 @@
 		quicktest.Assert(t, sim.jobState(jobID(1)), quicktest.Equals, fulmarjob.Completed, quicktest.Commentf("owner changed after %d ms", after))
 	}
 }
+
+func TestGangIsNotPlacedAgainWhereOneMemberFailed(t *testing.T) {
+	sim := newSimulation(t, gangMembers+1)
+	sim.runBehavior = func(_ fulmarjob.TaskID, _ int64, e *fakeExecutor) (fulmarclock.Millis, bool) {
+		if e.info.ID == "x-0" {
+			return 50, true
+		}
+		return 500, false
+	}
+	sim.runUntil(1200)
+	sim.submit(jobID(1), gangStep(1))
+	sim.waitFor(sim.now+20000, "the job has ended", sim.allEnded)
+	quicktest.Check(t, sim.jobState(jobID(1)), quicktest.Equals, fulmarjob.Completed)
+	quicktest.Check(t, sim.failedRuns(), quicktest.HasLen, 1)
+}
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -41,7 +41,7 @@
 	suspect          bool
 	// executor is where the task is placed; nil otherwise.
 	executor *executor
-	// failedOn is the executor of the last failed run.
+	// failedOn is the executor of the last failed run, of any member of a gang.
 	failedOn string
 
 	// startSentAt is when the current run was placed or its start last sent, confirmedAt when the
