Owner: starts in flight are limited while responses come late

Cause: the owner sends the start of each task as soon as it is journaled, as many as it places. Beyond what its processor and link carry they queue up, in front of the lease renewals. Renewals miss their timeouts: executors list ends in responses that the owner doesn't wait for, their leases lapse, and the tasks start elsewhere. What was taken for a fault of the lease bounds was none.

Change: a window of starts in flight. It shrinks while many starts get a late response or none, and grows while it is used up and few do; tasks beyond it wait unplaced, in the order of their ranks. Renewals then don't wait behind starts, whatever makes the owner slow. A quarter of executors that don't answer doesn't close it.

Tests: TestOwnerBoundsStartsWithoutResponse (all 512 starts in flight before), TestStartsBeyondOwnersCapacityDoNotQueueUp and others of the window, TestLimitOfPlacementsCountsStartsThatAreNotSentYet.

--- a/internal/fulmarowner/append.go
+++ b/internal/fulmarowner/append.go
@@ -32,6 +32,7 @@
 // beginAppend plans a batch and appends its records in a new goroutine. The pending
 // responses are sent after the append, at once if there is nothing to append.
 func (t *term) beginAppend(ctx context.Context, now fulmarclock.Millis) {
+	t.scheduler.LimitPlacements(t.window.free())
 	batch := t.scheduler.Plan(now, t.options.Clock.Unix(), t.journal.CompactionKeys())
 	pending := t.pending
 	t.pending = nil
--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -15,6 +15,7 @@
 func (t *term) execute(ctx context.Context, c fulmarsched.Command) {
 	switch c := c.(type) {
 	case fulmarsched.StartCommand:
+		t.window.begin()
 		t.calls.Go(func() { t.start(ctx, c) })
 	case fulmarsched.StopCommand:
 		t.calls.Go(func() { t.stop(ctx, c) })
@@ -53,7 +54,7 @@
 		t.latency.Observe(latency)
 	}
 	t.options.Metrics.Observe("start_order", latency)
-	t.send(startCompleted{c, attempts, result})
+	t.send(startCompleted{c, started, attempts, result})
 }
 
 // stop sends a stop command.
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -34,14 +34,16 @@
 	t.scheduler.RemoveExecutor(now, e.id)
 }
 
-// startCompleted is the result of a start command that was sent in a number of attempts.
+// startCompleted is the result of a start command that was sent at time sent, in a number of attempts.
 type startCompleted struct {
 	command  fulmarsched.StartCommand
+	sent     fulmarclock.Millis
 	attempts int
 	result   fulmarjob.CommandResult
 }
 
 func (e startCompleted) apply(t *term, now fulmarclock.Millis) {
+	t.window.end(now, now-e.sent, e.result != fulmarjob.ResultUnknown)
 	t.scheduler.HandleStartResult(now, e.command, e.attempts, e.result)
 }
 
--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -36,6 +36,8 @@
 	appending     bool
 	appendStarted fulmarclock.Millis
 	lastTick      fulmarclock.Millis
+	// window limits the start commands in flight.
+	window startWindow
 	// pending are the responses that wait for the next append.
 	pending []pendingResponse
 	// failure is the error that ended the term, nil until then.
@@ -49,6 +51,7 @@
 	return &term{
 		options: c.options, candidate: c, ownership: ownership,
 		events: make(chan event, maxQueuedEvents), ended: make(chan struct{}), drained: make(chan struct{}),
+		window:  newStartWindow(),
 		latency: fulmarhedge.NewLatencyTracker(minHedgeDelay, commandTimeout/2, maxCommandAttempts),
 	}
 }
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -54,6 +54,9 @@
 // place assigns waiting tasks to executors in the order of their jobs' ranks. Under overload, when
 // queues request more than their pool has, the ranks decide which jobs are served first.
 func (s *Scheduler) place() {
+	if s.placementsLeft <= 0 {
+		return
+	}
 	waiting := s.waitingJobs()
 	if len(waiting) == 0 {
 		return
@@ -65,7 +68,7 @@
 	slices.SortStableFunc(waiting, func(a, b *job) int { return a.rank.compare(b.rank) })
 	candidates := s.schedulableByService()
 	for _, j := range waiting {
-		if c := candidates[j.queue.Service]; c != nil {
+		if c := candidates[j.queue.Service]; c != nil && s.placementsLeft > 0 {
 			s.placeJob(j, c)
 		}
 	}
@@ -130,7 +133,7 @@
 func (s *Scheduler) placeJob(j *job, c *candidates) {
 	for _, o := range j.activeOccurrences {
 		for i, tasks := range o.steps {
-			if !o.isStepPlaceable(j, i) {
+			if !o.isStepPlaceable(j, i) || s.placementsLeft <= 0 {
 				continue
 			}
 			// A step that needs advice requests it before an executor has room.
@@ -152,6 +155,9 @@
 func (s *Scheduler) placeTasks(o *occurrence, step int, candidates []*executor) {
 	suspectsWait := false
 	for _, t := range o.steps[step] {
+		if s.placementsLeft <= 0 {
+			return
+		}
 		if t.state != taskWaiting || t.suspect && suspectsWait {
 			continue
 		}
@@ -212,6 +218,7 @@
 // placeTask places a task on an executor. Its start command is sent once the journal holds the
 // placement.
 func (s *Scheduler) placeTask(t *task, e *executor, run int64) {
+	s.placementsLeft--
 	t.run = run
 	t.startsSent, t.confirmedAt, t.runningSince, t.stopping, t.stopConfirmedAt, t.progress = 0, 0, 0, false, 0, 0
 	t.startSentAt, t.journaled, t.inherited, t.startAnswered = s.now, false, false, false
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -20,6 +20,8 @@
 package fulmarsched
 
 import (
+	"math"
+
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
@@ -105,6 +107,9 @@
 	// journaledUntil is the time up to which the journal holds all changes.
 	journaledUntil fulmarclock.Millis
 
+	// placementsLeft is how many more tasks may be placed.
+	placementsLeft int
+
 	// The changes since the last batch.
 	dirtyJobs             []*job
 	placedTasks           []*task
@@ -134,6 +139,7 @@
 		inheritedVMs:   map[string]bool{},
 		rejectedMoves:  map[string]bool{},
 		demands:        map[string]*demand{},
+		placementsLeft: math.MaxInt,
 	}
 }
 
@@ -202,6 +208,17 @@
 	return len(b.Records) == 0 && len(b.placedTasks) == 0 && len(b.finished) == 0 && len(b.chosenVMs) == 0
 }
 
+// LimitPlacements limits how many tasks the next Plan places, less the starts that are ready to be sent.
+// A gang is placed whole if any are left.
+func (s *Scheduler) LimitPlacements(limit int) {
+	s.placementsLeft = limit
+	for _, c := range s.commands {
+		if _, isStart := c.(StartCommand); isStart {
+			s.placementsLeft--
+		}
+	}
+}
+
 // Plan places tasks and returns all changes since the last batch. The batch also includes the
 // current records of the keys in rewrite, whose journal segments are about to be deleted.
 func (s *Scheduler) Plan(now fulmarclock.Millis, unixMillis int64, rewrite []string) *Batch {
