--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -36,6 +36,7 @@
 	appending     bool
 	appendStarted fulmarclock.Millis
 	lastTick      fulmarclock.Millis
+	load          loadMeter
 	// window limits the start commands in flight.
 	window startWindow
 	// pending are the responses that wait for the next append.
@@ -237,7 +238,11 @@
 func (t *term) advance(ctx context.Context) {
 	now := t.options.Clock.Now()
 	if now >= t.lastTick+tickInterval {
+		if t.lastTick > 0 {
+			t.load.recordTick(now, t.lastTick+tickInterval)
+		}
 		t.lastTick = now
+		t.logLoad(now)
 		t.scheduler.Tick(now, t.options.Clock.Unix())
 		t.options.Relay.SetExecutorCount(t.scheduler.ExecutorCount())
 	}
