Scheduler: move commands in flight are limited

Change: a move is not sent again while it is in flight, and at most eight are in flight.

The simulation now gives a move without a result its timeout, as the owner does.

Maintenance commands are limited by their wave and stay as they were.

--- a/internal/fulmarsched/fleet_test.go
+++ b/internal/fulmarsched/fleet_test.go
@@ -348,3 +348,18 @@
 	sim.moveDelay = late
 	sim.runUntil(chosen + moveTimeout + late + testParameters.MoveDuration + 5000)
 }
+
+func TestMovesWithoutResultDoNotPileUp(t *testing.T) {
+	sim := newSimulation(t, 3)
+	sim.moveDelay = 1_000_000
+	sim.runUntil(4500)
+	sim.scheduler.UpdateVMs(sim.now, vmList(sim, 60))
+	most := 0
+	sim.check = func() { most = max(most, sim.movesInFlight) }
+	for i := range 60 {
+		sim.submit(jobID(i), step(4))
+		sim.runUntil(sim.now + 50)
+	}
+	quicktest.Check(t, len(sim.moves) > maxMovesInFlight, quicktest.IsTrue)
+	quicktest.Check(t, most <= maxMovesInFlight, quicktest.IsTrue, quicktest.Commentf("%d moves in flight", most))
+}
--- a/internal/fulmarsched/move.go
+++ b/internal/fulmarsched/move.go
@@ -19,6 +19,9 @@
 	standbyAfterIdle = 1500 * fulmarclock.Millis(1)
 	// moveTimeout limits how long a move that the platform does not confirm is retried.
 	moveTimeout = 8 * fulmarclock.Second
+	// maxMovesInFlight limits the move commands in flight. Those of an owner that is slow, or of a slow
+	// platform, would otherwise pile up and time out behind one another.
+	maxMovesInFlight = 8
 	// arrivalGrace is added to the duration of a move before the VM no longer counts as arriving.
 	arrivalGrace = 3 * fulmarclock.Second
 )
@@ -41,6 +44,8 @@
 	chosenAt    fulmarclock.Millis
 	sentAt      fulmarclock.Millis
 	confirmedAt fulmarclock.Millis
+	// inFlight means that the last command has no result yet.
+	inFlight bool
 	// oldExecutor and oldIncarnation identify the executor incarnation that the move shuts down.
 	oldExecutor    string
 	oldIncarnation int64
@@ -184,6 +189,7 @@
 // advanceMoves sends the commands of journaled moves, and finishes moves that are done or have
 // timed out.
 func (s *Scheduler) advanceMoves() {
+	inFlight := s.movesInFlight()
 	for _, vm := range sortedKeys(s.moves) {
 		m := s.moves[vm]
 		switch {
@@ -194,12 +200,25 @@
 			s.checkMoveTimeout(m)
 		case s.now > m.chosenAt+moveTimeout:
 			s.abandonMove(m)
+		case m.inFlight || inFlight >= maxMovesInFlight:
 		case m.sentAt == 0 || s.now >= m.sentAt+commandRetryInterval:
 			s.sendMove(m)
+			inFlight++
 		}
 	}
 }
 
+// movesInFlight returns the number of move commands without a result.
+func (s *Scheduler) movesInFlight() int {
+	count := 0
+	for _, m := range s.moves {
+		if m.inFlight {
+			count++
+		}
+	}
+	return count
+}
+
 // abandonMove finishes a move that the platform has not confirmed. Until TakeoverDelay has passed
 // since its last command, the platform may still carry the command out, which ends what runs on
 // the VM: until then the VM gets no tasks.
@@ -216,7 +235,7 @@
 			return
 		}
 	}
-	m.sentAt = s.now
+	m.sentAt, m.inFlight = s.now, true
 	s.dropLapse(m.vm)
 	s.commands = append(s.commands, MoveCommand{VM: m.vm, Pool: m.to, Token: s.token})
 }
@@ -264,7 +283,11 @@
 func (s *Scheduler) HandleMoveResult(now fulmarclock.Millis, vm, pool string, confirmed, rejected bool) {
 	s.now = now
 	m := s.moves[vm]
-	if m == nil || m.to != pool || m.finished {
+	if m == nil || m.to != pool {
+		return
+	}
+	m.inFlight = false
+	if m.finished {
 		return
 	}
 	if confirmed && m.confirmedAt == 0 {
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -8,6 +8,9 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
+// fakeMoveTimeout is how long a move command without a result takes to time out.
+const fakeMoveTimeout = 1500 * fulmarclock.Millis(1)
+
 // executorOf returns the executor with the ID of a target; one that does not respond if there is
 // none, or if it has another address.
 func (s *simulation) executorOf(t Target) *fakeExecutor {
@@ -57,7 +60,12 @@
 	case MoveCommand:
 		s.moves = append(s.moves, c)
 		if s.moveDelay > 0 {
+			s.movesInFlight++
 			s.events = append(s.events, event{at: s.now + s.moveDelay, run: func() { s.shutDownVM(c.VM, testParameters.MoveDuration, c.Pool) }})
+			respond(s.now+fakeMoveTimeout, func() {
+				s.movesInFlight--
+				s.scheduler.HandleMoveResult(s.now, c.VM, c.Pool, false, false)
+			})
 			return
 		}
 		s.shutDownVM(c.VM, testParameters.MoveDuration, c.Pool)
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -61,9 +61,11 @@
 	moves         []MoveCommand
 	// moveDelay is how long after a move command without a result the platform carries it out;
 	// zero means at once and with a result.
-	moveDelay   fulmarclock.Millis
-	waveReports []WaveReport
-	generation  int
+	moveDelay fulmarclock.Millis
+	// movesInFlight is the number of these commands that have not timed out.
+	movesInFlight int
+	waveReports   []WaveReport
+	generation    int
 
 	// runBehavior returns how long a run takes and whether it fails.
 	runBehavior func(id fulmarjob.TaskID, number int64, e *fakeExecutor) (fulmarclock.Millis, bool)
