Owner: an overloaded owner hands over to a larger member

Change: an owner whose window of starts has shrunk five times, in a term of at least 5 s, with the store responding and a member attached to the relay that has at least twice its cores, ends its term like a planned stop. The larger member waits less long before it tries, so it gets the ownership; if it can't, the small one has it again after its delay.

TestOverloadedOwnerHandsOverToLargerMember doesn't end on the code before; TestHandOverNeedsLargerMemberAndStore has the cases in which it must not happen.

--- a/internal/fulmarnode/node.go
+++ b/internal/fulmarnode/node.go
@@ -134,7 +134,7 @@
 		Clock: n.clock, BootClock: fulmarclock.NewBoot(), Logger: n.logger, Metrics: n.metrics,
 		Self:       fulmarledger.Owner{Member: n.settings.Member, PeerAddress: n.settings.PeerAddress},
 		Parameters: n.settings.SchedulerParameters(), LeaseDuration: n.settings.Bounds.Lease(),
-		AcquireDelay: n.settings.AcquireDelay(),
+		AcquireDelay: n.settings.AcquireDelay(), Cores: n.settings.Cores,
 	})
 	n.agent = fulmarrelay.NewAgent(fulmarrelay.AgentOptions{
 		Name: n.settings.Member, Cores: n.settings.Cores, PeerAddress: n.settings.PeerAddress, Ownership: n.candidate,
--- a/internal/fulmarowner/fake_test.go
+++ b/internal/fulmarowner/fake_test.go
@@ -37,6 +37,8 @@
 	start func(ctx context.Context) (fulmarjob.CommandResult, error)
 	// losesRenewal reports whether a renewal gets no response and is not executed; nil means that none is lost.
 	losesRenewal func(acknowledged int64) bool
+	// mostCores is what MostCores returns.
+	mostCores float64
 	// extra is added to the running tasks in each report.
 	extra []fulmarjob.RunningTask
 	// extraFinished is added to the finished tasks in each report.
@@ -45,6 +47,8 @@
 
 func (f *fakeExecutors) SetExecutorCount(int) {}
 
+func (f *fakeExecutors) MostCores() float64 { return f.mostCores }
+
 func (f *fakeExecutors) Start(ctx context.Context, _, _ string, s fulmarjob.StartRequest) (fulmarjob.CommandResult, error) {
 	if f.start != nil {
 		return f.start(ctx)
--- a/internal/fulmarowner/harness_test.go
+++ b/internal/fulmarowner/harness_test.go
@@ -21,6 +21,7 @@
 	testMaxLease = 10000 * fulmarclock.Millis(1)
 	testStep     = 10 * fulmarclock.Millis(1)
 	maxTestSteps = 20000
+	testCores    = 0.2
 )
 
 // harness runs one candidate on manual clocks.
@@ -58,7 +59,7 @@
 			MaxLease: testMaxLease, StopTimeout: 400, StatusRetention: 120_000, TakeoverDelay: testLease,
 			MaintenanceDuration: 2000, MoveDuration: 1500,
 		},
-		LeaseDuration: testLease,
+		LeaseDuration: testLease, Cores: testCores,
 	})
 	h.candidate.SetConfiguration(&fulmarjob.Configuration{
 		Version:  1,
--- a/internal/fulmarowner/options.go
+++ b/internal/fulmarowner/options.go
@@ -29,6 +29,9 @@
 	Executors
 	// SetExecutorCount sets the number of executors, by which the relay chooses how many members to use.
 	SetExecutorCount(executors int)
+	// MostCores returns the most processor cores of a member that could relay commands, zero if there
+	// is none.
+	MostCores() float64
 }
 
 // Fleet lists VMs and sends commands about them to the platform. A command whose authority
@@ -79,6 +82,8 @@
 	BootClock fulmarclock.Clock
 	Logger    *log.Logger
 	Metrics   Metrics
+	// Cores is the number of processor cores of this member's VM; it may be a fraction.
+	Cores float64
 	// Self is the value that this member stores as the owner.
 	Self       fulmarledger.Owner
 	Parameters fulmarsched.Parameters
--- a/internal/fulmarowner/startwindow.go
+++ b/internal/fulmarowner/startwindow.go
@@ -33,6 +33,8 @@
 	used         int
 	lateFraction float64
 	changedAt    fulmarclock.Millis
+	// shrinks is how often the window shrank, or would have if it was not the smallest.
+	shrinks int
 }
 
 func newStartWindow() startWindow { return startWindow{limit: initialStartWindow} }
@@ -60,6 +62,7 @@
 	switch {
 	case w.lateFraction > maxLateFraction:
 		w.limit = max(int(float64(min(w.limit, w.used))*shrinkFactor), minStartWindow)
+		w.shrinks++
 	case w.lateFraction < minLateFraction && w.used >= w.limit:
 		w.limit = min(int(float64(w.limit)*growFactor), maxStartWindow)
 	}
--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -32,6 +32,8 @@
 	latency *fulmarhedge.LatencyTracker
 
 	// The fields below belong to the goroutine that runs the scheduler.
+	// began is when the scheduler began to run.
+	began fulmarclock.Millis
 	// appending is true while an append is in flight; the last one started at appendStarted.
 	appending     bool
 	appendStarted fulmarclock.Millis
@@ -43,8 +45,10 @@
 	pending []pendingResponse
 	// failure is the error that ended the term, nil until then.
 	failure error
-	// stopping means that the member stops; hasLastAppend that one more append may be started then.
+	// stopping means that the term ends by plan, for stopCause; hasLastAppend that one more append may
+	// be started then.
 	stopping      bool
+	stopCause     string
 	hasLastAppend bool
 }
 
@@ -134,6 +138,7 @@
 func (t *term) loop(ctx, termCtx context.Context, lost <-chan error) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	t.began = t.options.Clock.Now()
 	stop := ctx.Done()
 	for t.failure == nil {
 		select {
@@ -144,17 +149,25 @@
 		case err := <-lost:
 			t.fail(err)
 		case <-stop:
-			t.stopping, t.hasLastAppend, stop = true, true, nil
+			t.beginStop("the member is shutting down")
+			stop = nil
 		}
 		t.guard(func() { t.advance(termCtx) })
 		if t.stopping && !t.appending && !t.mayAppend() {
-			t.fail(&fulmarledger.OwnershipLostError{Cause: "the member is shutting down"})
+			t.fail(&fulmarledger.OwnershipLostError{Cause: t.stopCause})
 		}
 		timer.Reset(t.nextWake().Duration())
 	}
 	t.respondToPending()
 }
 
+// beginStop begins the planned end of the term. A stop that has begun already goes on.
+func (t *term) beginStop(cause string) {
+	if !t.stopping {
+		t.stopping, t.hasLastAppend, t.stopCause = true, true, cause
+	}
+}
+
 // mayAppend reports whether a further append may be started. During a stop that is only one, for
 // the requests that wait for it: an owner under load always has more to append.
 func (t *term) mayAppend() bool {
@@ -175,7 +188,7 @@
 	}
 }
 
-// isPlannedEnd reports whether the term ends because the member stops, and the scheduler's state
+// isPlannedEnd reports whether the term ends by plan, and the scheduler's state
 // is consistent.
 func (t *term) isPlannedEnd() bool {
 	var panicked *panicError
@@ -243,6 +256,7 @@
 		}
 		t.lastTick = now
 		t.logLoad(now)
+		t.checkHandOver(now)
 		t.scheduler.Tick(now, t.options.Clock.Unix())
 		t.options.Relay.SetExecutorCount(t.scheduler.ExecutorCount())
 	}
--- a/internal/fulmarrelay/hub.go
+++ b/internal/fulmarrelay/hub.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// MostCores returns the most processor cores of an attached member, zero if none is attached.
+func (h *Hub) MostCores() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.sessions) == 0 {
+		return 0
+	}
+	return h.sessions[0].cores
+}
+
 // selectActive activates as many sessions as are needed to provide the cores that this
 // member lacks. The caller holds the lock.
 func (h *Hub) selectActive() {
