--- a/internal/fulmarowner/handover.go
+++ b/internal/fulmarowner/handover.go
@@ -5,8 +5,8 @@
 const (
 	// handOverFactor is how many times the cores of the owner another member must have.
 	handOverFactor = 2.0
-	// handOverShrinks is how often the window of starts must have shrunk in a term.
-	handOverShrinks = 5
+	// minNarrowTime is how long the window of starts must have been smaller than at first.
+	minNarrowTime = 3 * fulmarclock.Second
 	// minHandOverAge is how long a term lasts at least: after a change of the owner starts are late
 	// anyway, and the larger members may have been the ones that failed.
 	minHandOverAge = 5 * fulmarclock.Second
@@ -16,8 +16,9 @@
 // ownership: it waits less long before it tries. It answers fleets with VMs of different sizes, in which
 // a disruption of the store may leave the ownership to a small one.
 type handOver struct {
-	age     fulmarclock.Millis
-	shrinks int
+	age fulmarclock.Millis
+	// narrowFor is for how long the window of starts has been smaller than at first.
+	narrowFor fulmarclock.Millis
 	// cores are the cores of the owner, mostCores the most of another member that responds.
 	cores, mostCores float64
 	// storeResponds means that the ownership is valid and no append is stalled.
@@ -25,7 +26,7 @@
 }
 
 func (h handOver) isDue() bool {
-	isOverloaded := h.age >= minHandOverAge && h.shrinks >= handOverShrinks
+	isOverloaded := h.age >= minHandOverAge && h.narrowFor >= minNarrowTime
 	return h.storeResponds && isOverloaded && h.cores > 0 && h.mostCores >= handOverFactor*h.cores
 }
 
@@ -33,7 +34,7 @@
 func (t *term) checkHandOver(now fulmarclock.Millis) {
 	_, stalled := t.stallRetryAfter(now)
 	h := handOver{
-		age: now - t.began, shrinks: t.window.shrinks, cores: t.options.Cores, mostCores: t.options.Relay.MostCores(),
+		age: now - t.began, narrowFor: t.window.narrowFor(now), cores: t.options.Cores, mostCores: t.options.Relay.MostCores(),
 		storeResponds: !stalled && t.ownership.IsValid(),
 	}
 	if t.stopping || !h.isDue() {
--- a/internal/fulmarowner/startwindow.go
+++ b/internal/fulmarowner/startwindow.go
@@ -33,8 +33,8 @@
 	used         int
 	lateFraction float64
 	changedAt    fulmarclock.Millis
-	// shrinks is how often the window shrank, or would have if it was not the smallest.
-	shrinks int
+	// narrowSince is since when the window has been smaller than at first, zero if it is not.
+	narrowSince fulmarclock.Millis
 }
 
 func newStartWindow() startWindow { return startWindow{limit: initialStartWindow} }
@@ -42,6 +42,14 @@
 // free returns how many more starts may be sent.
 func (w *startWindow) free() int { return max(w.limit-w.inFlight, 0) }
 
+// narrowFor returns for how long the window has been smaller than at first.
+func (w *startWindow) narrowFor(now fulmarclock.Millis) fulmarclock.Millis {
+	if w.narrowSince == 0 {
+		return 0
+	}
+	return now - w.narrowSince
+}
+
 // begin records that a start is sent.
 func (w *startWindow) begin() {
 	w.inFlight++
@@ -62,9 +70,14 @@
 	switch {
 	case w.lateFraction > maxLateFraction:
 		w.limit = max(int(float64(min(w.limit, w.used))*shrinkFactor), minStartWindow)
-		w.shrinks++
 	case w.lateFraction < minLateFraction && w.used >= w.limit:
 		w.limit = min(int(float64(w.limit)*growFactor), maxStartWindow)
 	}
 	w.used, w.changedAt = w.inFlight, now
+	switch {
+	case w.limit >= initialStartWindow:
+		w.narrowSince = 0
+	case w.narrowSince == 0:
+		w.narrowSince = now
+	}
 }
