--- a/internal/fulmarsched/partialreport_test.go
+++ b/internal/fulmarsched/partialreport_test.go
@@ -63,15 +63,22 @@
 	return s
 }
 
+// startManyRuns starts runs on one executor that it can't list at a time, once they have ended.
+func startManyRuns(t *testing.T) *simulation {
+	t.Helper()
+	sim := newSimulation(t, 1)
+	sim.maxListedFinished = listedFinishedRuns
+	sim.runsTake(1000)
+	sim.runUntil(1200)
+	sim.submit(jobID(1), smallStep(manyFinishedRuns))
+	sim.waitFor(3000, "all runs are started", func() bool { return len(sim.runs) == manyFinishedRuns })
+	return sim
+}
+
 func TestRunWhoseEndIsNotListedYetIsNotStartedAgain(t *testing.T) {
 	for _, c := range partialReportCases {
 		t.Run(c.name, func(t *testing.T) {
-			sim := newSimulation(t, 1)
-			sim.maxListedFinished = listedFinishedRuns
-			sim.runsTake(1000)
-			sim.runUntil(1200)
-			sim.submit(jobID(1), smallStep(manyFinishedRuns))
-			sim.waitFor(3000, "all runs are started", func() bool { return len(sim.runs) == manyFinishedRuns })
+			sim := startManyRuns(t)
 			sim.runUntil(sim.now + 200)
 			c.inject(sim)
 			sim.waitFor(sim.now+10000, "the job is completed", sim.allCompleted)
@@ -102,12 +109,7 @@
 }
 
 func TestStoppedRunWhoseEndIsNotListedYetIsNotStartedAgain(t *testing.T) {
-	sim := newSimulation(t, 1)
-	sim.maxListedFinished = listedFinishedRuns
-	sim.runsTake(1000)
-	sim.runUntil(1200)
-	sim.submit(jobID(1), smallStep(manyFinishedRuns))
-	sim.waitFor(3000, "all runs are started", func() bool { return len(sim.runs) == manyFinishedRuns })
+	sim := startManyRuns(t)
 	sim.executors[0].unresponsive = true
 	sim.runUntil(sim.now + 1500)
 	sim.executors[0].unresponsive = false
@@ -119,12 +121,7 @@
 }
 
 func TestNoTaskIsPlacedOnExecutorWithUnlistedEnds(t *testing.T) {
-	sim := newSimulation(t, 1)
-	sim.maxListedFinished = listedFinishedRuns
-	sim.runsTake(1000)
-	sim.runUntil(1200)
-	sim.submit(jobID(1), smallStep(manyFinishedRuns))
-	sim.waitFor(3000, "all runs are started", func() bool { return len(sim.runs) == manyFinishedRuns })
+	sim := startManyRuns(t)
 	sim.storeDown = true
 	sim.runUntil(sim.now + 1000 + 2*unjournaledRenewalInterval)
 	quicktest.Check(t, sim.scheduler.executors["x-0"].isSchedulable(sim.now), quicktest.IsFalse)
