Scheduler: a start that was never sent frees its task

Traced (four logs): lasting tasks of a dark rack are moved, at 18.4 to 19.0 s, to executors that had reported 0.9 s before and have gone again. The start fails within 25 ms, "connection refused". It counted as possibly executed, so that the task waited 12.9 s for a lease of maximum length that nobody could hold.

Change: a refused connection is a result of its own, unreachable: nothing was sent. If it was the only attempt of the only start, and no earlier owner may have sent one, the placement ends at once. Stops and renewals treat it like no response. Hedged attempts go on after it.

--- a/internal/fulmarjob/executor.go
+++ b/internal/fulmarjob/executor.go
@@ -137,12 +137,17 @@
 	ResultOtherIncarnation
 	// ResultInvalid means that the command was malformed.
 	ResultInvalid
+	// ResultUnreachable means that no connection could be made: the command was never sent.
+	ResultUnreachable
 )
 
 var resultNames = [...]string{
-	"done", "unknown", "fenced", "old", "late", "no-room", "no-ticket", "unhealthy", "other-life", "invalid",
+	"done", "unknown", "fenced", "old", "late", "no-room", "no-ticket", "unhealthy", "other-life", "invalid", "unreachable",
 }
 
+// IsAnswer reports whether the executor has responded to the command.
+func (r CommandResult) IsAnswer() bool { return r != ResultUnknown && r != ResultUnreachable }
+
 // String returns the name of the result in logs and metrics.
 func (r CommandResult) String() string { return resultNames[r] }
 
--- a/internal/fulmarjob/executor_test.go
+++ b/internal/fulmarjob/executor_test.go
@@ -8,10 +8,10 @@
 
 func TestEachResultHasItsName(t *testing.T) {
 	seen := map[string]bool{}
-	for result := ResultDone; result <= ResultInvalid; result++ {
+	for result := ResultDone; result <= ResultUnreachable; result++ {
 		seen[result.String()] = true
 	}
-	quicktest.Assert(t, seen, quicktest.HasLen, int(ResultInvalid)+1)
+	quicktest.Assert(t, seen, quicktest.HasLen, int(ResultUnreachable)+1)
 	quicktest.Assert(t, ResultInvalid.String(), quicktest.Equals, "invalid")
 }
 
--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -50,7 +50,7 @@
 		return executors.Start(attemptCtx, c.Target.Address, c.Target.ID, c.Start)
 	})
 	latency := t.options.Clock.Now() - started
-	if result != fulmarjob.ResultUnknown {
+	if result.IsAnswer() {
 		t.latency.Observe(latency)
 	}
 	t.options.Metrics.Observe("start_order", latency)
@@ -127,7 +127,7 @@
 
 // hasResult reports whether the executor has responded to a command.
 func hasResult(result fulmarjob.CommandResult, _ error) bool {
-	return result != fulmarjob.ResultUnknown
+	return result.IsAnswer()
 }
 
 // throttle limits a best-effort task to a percentage of full speed.
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -43,7 +43,7 @@
 }
 
 func (e startCompleted) apply(t *term, now fulmarclock.Millis) {
-	t.window.end(now, now-e.sent, e.result != fulmarjob.ResultUnknown)
+	t.window.end(now, now-e.sent, e.result.IsAnswer())
 	t.scheduler.HandleStartResult(now, e.command, e.attempts, e.result)
 }
 
--- a/internal/fulmarrelay/encode.go
+++ b/internal/fulmarrelay/encode.go
@@ -69,7 +69,7 @@
 		return fulmarjob.ResultUnknown, err
 	}
 	result := fulmarjob.CommandResult(a.GetAnswer())
-	if result < fulmarjob.ResultDone || result > fulmarjob.ResultInvalid {
+	if result < fulmarjob.ResultDone || result > fulmarjob.ResultUnreachable {
 		result = fulmarjob.ResultUnknown
 	}
 	if a.GetError() != "" {
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -98,6 +98,10 @@
 
 func (s *simulation) executeStart(c StartCommand, n int, lost bool, respond func(fulmarclock.Millis, func())) {
 	e := s.executorOf(c.Target)
+	if !e.alive && s.refusesConnections {
+		respond(s.now+simulationStep, func() { s.scheduler.HandleStartResult(s.now, c, 1, fulmarjob.ResultUnreachable) })
+		return
+	}
 	if !e.alive || e.unresponsive {
 		respond(s.now+800, func() {
 			s.scheduler.HandleStartResult(s.now, c, 1, fulmarjob.ResultUnknown)
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -104,6 +104,8 @@
 	capacityGrace           fulmarclock.Millis
 	// maxListedFinished limits the finished runs that a report lists.
 	maxListedFinished int
+	// refusesConnections makes the VM of a crashed executor refuse connections at once.
+	refusesConnections bool
 	// longPolls makes executors delay their reports as requested.
 	longPolls bool
 	// refusesOtherIncarnation makes an executor refuse starts that were meant for an earlier
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -43,7 +43,7 @@
 		return
 	}
 	e := t.executor
-	t.startAnswered = result != fulmarjob.ResultUnknown && attempts == 1 && t.startsSent == 1
+	t.startAnswered = result.IsAnswer() && attempts == 1 && t.startsSent == 1
 	if result == fulmarjob.ResultDone {
 		s.handleStarted(e, t)
 		return
@@ -71,6 +71,9 @@
 	case fulmarjob.ResultUnknown, fulmarjob.ResultFenced:
 		s.scheduleProbe(e)
 		return
+	case fulmarjob.ResultUnreachable:
+		s.handleUnsentStart(t, attempts)
+		return
 	case fulmarjob.ResultStaleRun:
 		// The run has ended there. The next report lists it as finished or does not list it;
 		// the placement ends in both cases.
@@ -92,6 +95,17 @@
 	s.endPlacement(t, "its executor refused the start: "+result.String())
 }
 
+// handleUnsentStart ends the placement of a task whose start was never sent, unless another start or
+// attempt may have been.
+func (s *Scheduler) handleUnsentStart(t *task, attempts int) {
+	e := t.executor
+	e.avoidUntil = max(e.avoidUntil, s.now+unhealthyBackoff)
+	s.scheduleProbe(e)
+	if t.startsSent == 1 && attempts == 1 && !t.inherited {
+		s.endPlacement(t, "no connection to its executor for the start")
+	}
+}
+
 // scheduleProbe schedules a renewal to request a report, unless one is in flight.
 func (s *Scheduler) scheduleProbe(e *executor) {
 	if !e.renewalInFlight {
