review: case 8, lasting tasks wait for each other after executors flap

Two of seven executors go down and up twice. Tasks that were placed on them right after their return become suspects of the crash and are restarted one executor at a time, 5 s each, while most of the capacity is free.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,6 +16,7 @@
 type scenario func(d *deployment, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
+	"flap":       flap,
 	"late-start": lateStart,
 }
 
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -151,7 +151,9 @@
 	defer p.mu.Unlock()
 	runs := make([]run, 0, len(p.runs))
 	for _, r := range p.runs {
-		runs = append(runs, *r)
+		runs = append(runs, run{
+			Task: r.Task, Number: r.Number, Executor: r.Executor, Born: r.Born, Token: r.Token, Start: r.Start, End: r.End, How: r.How, NotedAt: r.NotedAt,
+		})
 	}
 	slices.SortStableFunc(runs, func(a, b run) int { return int(a.Start - b.Start) })
 	return runs
