--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +19,9 @@
 	clientTimeout = 3 * time.Second
 	restartDelay  = 300 * time.Millisecond
 	startTimeout  = 20 * time.Second
+	// The case uses loopback addresses from 127.firstSubnet.0.0 on.
+	firstSubnet = 20
+	subnets     = 200
 )
 
 // member is a machine of the system. Its process is restarted when it ends.
@@ -119,15 +121,12 @@
 func (d *deployment) startMembers(count int) error {
 	d.configure()
 	for n := range count {
-		ports, err := freePorts(4)
-		if err != nil {
-			return err
-		}
-		m := &member{name: fmt.Sprintf("member-%d", n+1), callers: ports[0], ended: make(chan struct{})}
+		address := host(n + 1)
+		m := &member{name: fmt.Sprintf("member-%d", n+1), callers: address + ":7001", ended: make(chan struct{})}
 		m.settings, m.log = filepath.Join(d.folder, m.name+".jsonc"), filepath.Join(d.folder, m.name+".log")
 		settings := map[string]any{
-			"member": m.name, "region": "region-a", "data_centre": "zone-a", "callers": ports[0], "ready": ports[1], "peers": ports[2],
-			"metrics": ports[3], "store": d.storeAddress, "fleet": d.fleet, "advice": d.advice, "memory_mb": 284, "cores": 0.4, "link_mbps": 1000.0,
+			"member": m.name, "region": "region-a", "data_centre": "zone-a", "callers": m.callers, "ready": address + ":7002", "peers": address + ":7003",
+			"metrics": address + ":7004", "store": d.storeAddress, "fleet": d.fleet, "advice": d.advice, "memory_mb": 284, "cores": 0.4, "link_mbps": 1000.0,
 			"bounds": map[string]any{
 				"lease_min_ms": 1000, "hold_max_ms": 10000, "stop_within_ms": 400, "status_kept_s": 120, "fleet_turn_ms": 3000,
 				"upkeep_s": 2, "move_s": 1.5, "stop_process_s": 6,
@@ -151,18 +150,9 @@
 	return fmt.Errorf("the members do not serve after %v", startTimeout)
 }
 
-// freePorts returns loopback addresses that are free now.
-func freePorts(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		addresses = append(addresses, listener.Addr().String())
-		defer func() { _ = listener.Close() }()
-	}
-	return addresses, nil
+// host returns a loopback address that no other case uses at the same time, so that its ports are free.
+func host(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", firstSubnet+os.Getpid()%subnets, os.Getpid()/subnets%subnets, n+1)
 }
 
 // run keeps the process of a member running.
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -78,7 +78,7 @@
 func (e *executor) begin() error {
 	address := e.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = host(0) + ":0"
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -135,26 +135,32 @@
 			e.mu.Unlock()
 			return
 		}
-		e.beats++
-		address, state := e.address, "ready"
-		if e.proxied != "" {
-			address = e.proxied
-		}
-		if e.draining {
-			state = "draining"
-		}
-		entry := map[string]any{
-			"service": e.service, "address": address, "zone": "zone-a", "version": "v1", "slots": 8, "state": state,
-			"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "machine": e.machine,
-			"capacity": map[string]any{"cpu": e.capacity, "task_memory_mb": 32768, "gpus": 0},
-			"labels":   []string{"a", e.rack}, "clock_ms": e.clock().Milliseconds(),
-		}
+		entry := e.entry()
 		e.mu.Unlock()
 		e.p.store.put("servers/"+e.id, entry)
 		time.Sleep(heartbeat)
 	}
 }
 
+// entry returns the executor's next entry in the store. The caller holds e.mu.
+func (e *executor) entry() map[string]any {
+	e.beats++
+	address := e.address
+	if e.proxied != "" {
+		address = e.proxied
+	}
+	entry := map[string]any{
+		"service": e.service, "address": address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "machine": e.machine,
+		"capacity": map[string]any{"cpu": e.capacity, "task_memory_mb": 32768, "gpus": 0},
+		"labels":   []string{"a", e.rack}, "clock_ms": e.clock().Milliseconds(),
+	}
+	if e.draining {
+		entry["state"], entry["remaining_ms"] = "draining", 2000
+	}
+	return entry
+}
+
 // expire kills everything once the lease has expired.
 func (e *executor) expire(born int64) {
 	for {
@@ -224,6 +230,14 @@
 	writeJSON(w, status, answer)
 }
 
+// executeUnanswered carries out a call whose answer the caller does not get.
+func (e *executor) executeUnanswered(q *http.Request, name string, body []byte) {
+	var c call
+	if q.Header.Get("X-Expected-Executor") == e.id && json.Unmarshal(body, &c) == nil {
+		e.execute(q.Context(), name, c)
+	}
+}
+
 // execute carries out a call.
 func (e *executor) execute(ctx context.Context, name string, c call) (int, any) {
 	e.mu.Lock()
--- a/review/standin-2/flap.go
+++ b/review/standin-2/flap.go
@@ -115,7 +115,7 @@
 		}
 		reported[task] = true
 		found = append(found, fmt.Sprintf("LOST: %s is to last; its run %d ended (%s) at %.1f s, and nothing runs at %.1f s; %d of %d thousandths of a core are in use",
-			task, r.Number, r.How, r.End.Seconds(), now.Seconds(), d.used(), executorCount*executorCPU))
+			task, r.Number, r.How, r.End.Seconds(), now.Seconds(), d.used(), len(d.executors)*int(d.executors[0].capacity)))
 	}
 	return found
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,8 +16,10 @@
 type scenario func(d *deployment, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"flap":       flap,
-	"late-start": lateStart,
+	"drain":       drain,
+	"flap":        flap,
+	"late-start":  lateStart,
+	"lost-answer": lostAnswer,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -45,7 +45,7 @@
 
 // serve serves on a free loopback port and returns its address.
 func serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", host(0)+":0")
 	if err != nil {
 		return "", err
 	}
