review: case 7, jobs that need advice never start after a small burst

Two calls for advice at a time wait for each other at the advisor, and the validity of tickets is counted from the call. Once both together take longer than the validity, no ticket is valid on arrival, and accepted jobs stay queued although all executors are idle.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -97,15 +97,11 @@
 	d.routes = append(d.routes, route)
 }
 
-// addService adds a service with its executors.
+// addService adds a service and starts its executors.
 func (d *deployment) addService(name string, executors int, capacity int64, guards bool) error {
 	d.services = append(d.services, map[string]any{"name": name, "admission_control": guards})
 	for n := range executors {
-		e, err := d.addExecutor(name, n, capacity, guards)
-		if err != nil {
-			return err
-		}
-		if err := e.begin(); err != nil {
+		if err := d.addExecutor(name, n, capacity, guards).begin(); err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -57,6 +57,8 @@
 	guards   bool
 	// intercept may answer or delay a call before the executor sees it; it returns true if it did.
 	intercept func(w http.ResponseWriter, q *http.Request, call string, body []byte) bool
+	// accepts checks the ticket of a start; nil if none is needed.
+	accepts func(c call, executor string) bool
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -206,6 +208,7 @@
 	Ack        int64  `json:"ack_cursor"`
 	Wait       int64  `json:"wait_ms"`
 	Percentage int    `json:"percentage"`
+	Ticket     string `json:"ticket"`
 }
 
 func (e *executor) serve(w http.ResponseWriter, q *http.Request) {
@@ -290,6 +293,9 @@
 	if e.guards && spec != nil && e.load()+spec.need() > e.capacity {
 		return "room"
 	}
+	if e.accepts != nil && !e.accepts(c, e.id) {
+		return "ticket"
+	}
 	r := &run{Task: c.Task, Number: c.Run, Executor: e.id, Born: e.born, Token: c.Token, Checkpoint: c.Checkpoint, spec: spec, pace: 100}
 	e.running[c.Task], e.highest[c.Task] = r, c.Run
 	e.p.beginRun(e, r, c.Text)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,7 +16,7 @@
 type scenario func(d *deployment, trouble bool) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"drain":       drain,
+	"burst":       burst,
 	"flap":        flap,
 	"late-start":  lateStart,
 	"lost-answer": lostAnswer,
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -54,14 +54,14 @@
 	return listener.Addr().String(), nil
 }
 
-// addExecutor adds an executor on a machine of its own and starts it.
-func (p *platform) addExecutor(service string, n int, capacity int64, guards bool) (*executor, error) {
+// addExecutor adds an executor on a machine of its own.
+func (p *platform) addExecutor(service string, n int, capacity int64, guards bool) *executor {
 	e := &executor{
 		p: p, id: fmt.Sprintf("i-%s-%02d", service, n), machine: fmt.Sprintf("m-%s-%02d", service, n), service: service,
 		rack: fmt.Sprintf("r-%d", n/4), capacity: capacity, guards: guards,
 	}
 	p.executors = append(p.executors, e)
-	return e, nil
+	return e
 }
 
 func (p *platform) machineHandler() http.Handler {
