--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -227,7 +227,7 @@
 
 // submit hands a job in, with retries as clients do, and returns whether it was accepted.
 func (d *deployment) submit(queue, id string, j *job) bool {
-	j.id, j.queue = id, queue
+	j.queue = queue
 	d.mu.Lock()
 	d.jobs[id] = j
 	d.mu.Unlock()
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -16,8 +16,6 @@
 	silentBeats  = 3
 	maxHold      = 10 * time.Second
 	stopDuration = 200 * time.Millisecond
-	gangTimeout  = 3 * time.Second
-	checkpointIn = 2 * time.Second
 	maxListed    = 500
 )
 
@@ -35,13 +33,11 @@
 	NotedAt    time.Duration
 	Checkpoint string
 
-	sequence  int64
-	spec      *step
-	stopping  bool
-	ended     bool
-	timer     *time.Timer
-	pace      int
-	paceKnown bool
+	sequence int64
+	spec     *step
+	stopping bool
+	ended    bool
+	timer    *time.Timer
 }
 
 // executor is an executor at a fixed address. It may start again under its identifier.
@@ -72,7 +68,6 @@
 	finished []*run
 	sequence int64
 	beats    int64
-	draining bool
 	changed  chan struct{}
 }
 
@@ -151,16 +146,12 @@
 	if e.proxied != "" {
 		address = e.proxied
 	}
-	entry := map[string]any{
+	return map[string]any{
 		"service": e.service, "address": address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "machine": e.machine,
 		"capacity": map[string]any{"cpu": e.capacity, "task_memory_mb": 32768, "gpus": 0},
 		"labels":   []string{"a", e.rack}, "clock_ms": e.clock().Milliseconds(),
 	}
-	if e.draining {
-		entry["state"], entry["remaining_ms"] = "draining", 2000
-	}
-	return entry
 }
 
 // expire kills everything once the lease has expired.
@@ -207,7 +198,6 @@
 	Checkpoint string `json:"checkpoint"`
 	Ack        int64  `json:"ack_cursor"`
 	Wait       int64  `json:"wait_ms"`
-	Percentage int    `json:"percentage"`
 	Ticket     string `json:"ticket"`
 }
 
@@ -262,11 +252,6 @@
 		}
 	case "run-stop":
 		e.stop(c)
-	case "pace":
-		if r := e.running[c.Task]; r != nil && r.Number == c.Run {
-			r.pace, r.paceKnown = c.Percentage, true
-			e.p.note("pace of %s run %d on %s is %d", c.Task, c.Run, e.id, c.Percentage)
-		}
 	case "hold":
 		return http.StatusOK, e.hold(ctx, c)
 	}
@@ -290,13 +275,13 @@
 		return "old"
 	}
 	spec := e.p.stepOf(c.Task)
-	if e.guards && spec != nil && e.load()+spec.need() > e.capacity {
+	if e.guards && spec != nil && e.load()+spec.CPU > e.capacity {
 		return "room"
 	}
 	if e.accepts != nil && !e.accepts(c, e.id) {
 		return "ticket"
 	}
-	r := &run{Task: c.Task, Number: c.Run, Executor: e.id, Born: e.born, Token: c.Token, Checkpoint: c.Checkpoint, spec: spec, pace: 100}
+	r := &run{Task: c.Task, Number: c.Run, Executor: e.id, Born: e.born, Token: c.Token, Checkpoint: c.Checkpoint, spec: spec}
 	e.running[c.Task], e.highest[c.Task] = r, c.Run
 	e.p.beginRun(e, r, c.Text)
 	e.schedule(r)
@@ -308,40 +293,21 @@
 	if r.spec == nil || r.spec.Lasting {
 		return
 	}
-	if r.spec.Gang {
-		e.p.joinGang(e, r)
-		return
-	}
-	e.endAfter(r, r.spec.duration, "done")
-}
-
-// endAfter ends a run after a duration, as failed if its step says so.
-func (e *executor) endAfter(r *run, d time.Duration, how string) {
-	r.timer = time.AfterFunc(d, func() {
+	r.timer = time.AfterFunc(r.spec.duration, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if !e.alive || e.running[r.Task] != r {
-			return
-		}
-		if how == "done" && r.spec.fails != nil && r.spec.fails(r.Task, r.Number) {
-			how = "failed"
+		if e.alive && e.running[r.Task] == r {
+			e.end(r, "done")
 		}
-		e.end(r, how)
 	})
 }
 
-func (s *step) need() int64 {
-	if s.Fills {
-		return 0
-	}
-	return s.CPU
-}
-
+// load returns the processor use of all runs, in thousandths of a core.
 func (e *executor) load() int64 {
 	sum := int64(0)
 	for _, r := range e.running {
 		if r.spec != nil {
-			sum += r.spec.need()
+			sum += r.spec.CPU
 		}
 	}
 	return sum
@@ -391,7 +357,7 @@
 		if r.spec != nil && r.spec.Lasting && e.p.now()-r.Start > 300*time.Millisecond {
 			percent = 100
 		}
-		running = append(running, []any{r.Task, r.Number, r.Checkpoint, percent, e.tail(r)})
+		running = append(running, []any{r.Task, r.Number, r.Checkpoint, percent})
 	}
 	for _, r := range e.finished[:min(len(e.finished), maxListed)] {
 		finished = append(finished, []any{r.sequence, r.Task, r.Number, r.How, r.Checkpoint})
@@ -399,19 +365,4 @@
 	return map[string]any{"clock_ms": e.clock().Milliseconds(), "born": e.born, "running": running, "finished": finished}
 }
 
-// tail is the fifth entry of a row: the tail of a serving task, which grows with the pace of the tasks
-// that fill beside it, and the processor use of any other.
-func (e *executor) tail(r *run) int64 {
-	if r.spec == nil || r.spec.Target == 0 {
-		return 0
-	}
-	disturbance := 0
-	for _, other := range e.running {
-		if other.spec != nil && other.spec.Fills {
-			disturbance += other.pace
-		}
-	}
-	return r.spec.Target/4 + r.spec.Target*int64(disturbance)/100
-}
-
 func (e *executor) String() string { return fmt.Sprintf("%s (%s)", e.id, e.machine) }
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -20,20 +20,13 @@
 	record    *os.File
 	advise    func(step string, workers []string) (int, any)
 
-	mu    sync.Mutex
-	jobs  map[string]*job
-	runs  []*run
-	gangs map[string]*gang
-}
-
-// gang is one run of a step whose tasks work only together.
-type gang struct {
-	members map[string]*run
-	at      map[string]*executor
+	mu   sync.Mutex
+	jobs map[string]*job
+	runs []*run
 }
 
 func newPlatform(record *os.File) *platform {
-	return &platform{store: newStore(), began: time.Now(), record: record, jobs: map[string]*job{}, gangs: map[string]*gang{}}
+	return &platform{store: newStore(), began: time.Now(), record: record, jobs: map[string]*job{}}
 }
 
 func (p *platform) now() time.Duration { return time.Since(p.began) }
@@ -163,73 +156,3 @@
 func (p *platform) runsOf(id string) []run {
 	return slices.DeleteFunc(p.allRuns(), func(r run) bool { return !strings.HasPrefix(r.Task, id+".") })
 }
-
-// joinGang adds a member to its gang. The caller holds the executor's lock.
-func (p *platform) joinGang(e *executor, r *run) {
-	id, occurrence, number, _ := taskOf(r.Task)
-	key := fmt.Sprintf("%s.%d.%d run %d", id, occurrence, number, r.Number)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	g := p.gangs[key]
-	if g == nil {
-		g = &gang{members: map[string]*run{}, at: map[string]*executor{}}
-		p.gangs[key] = g
-		go p.watchGang(g, r.spec)
-	}
-	g.members[r.Task], g.at[r.Task] = r, e
-}
-
-// watchGang ends the members of a gang together, or one by one if some are missing for too long.
-func (p *platform) watchGang(g *gang, spec *step) {
-	var together time.Duration
-	for {
-		time.Sleep(5 * time.Millisecond)
-		p.mu.Lock()
-		ended, present := false, 0
-		var waiting []*run
-		for _, r := range g.members {
-			ended = ended || r.ended
-			if !r.ended {
-				present++
-				waiting = append(waiting, r)
-			}
-		}
-		at := g.at
-		p.mu.Unlock()
-		how := ""
-		switch {
-		case ended && (together > 0 || present > 0):
-			how = "broken"
-			if together == 0 {
-				how = ""
-			}
-		case present == spec.Count && together == 0:
-			together = p.now()
-		case together > 0 && p.now() > together+spec.duration:
-			how = "done"
-		}
-		if present == 0 && ended {
-			return
-		}
-		for _, r := range waiting {
-			end := how
-			if end == "" && together == 0 && p.now() > r.Start+gangTimeout {
-				end = "alone"
-			}
-			if end == "done" && spec.fails != nil && spec.fails(r.Task, r.Number) {
-				end = "failed"
-			}
-			if end != "" {
-				p.endMember(at[r.Task], r, end)
-			}
-		}
-	}
-}
-
-func (p *platform) endMember(e *executor, r *run, how string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.alive && e.running[r.Task] == r {
-		e.end(r, how)
-	}
-}
