--- a/review/standin-2/flap.go
+++ b/review/standin-2/crash.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,11 +14,8 @@
 	lastingJobs    = 84
 	lastingTasks   = 1
 	crashDowntime  = time.Second
-	crashUptime    = 700 * time.Millisecond
-	submissionTime = 12 * time.Second
-	// flappingExecutors executors go down and up crashesEach times, one after the other.
-	flappingExecutors = 2
-	crashesEach       = 2
+	crashAfter     = 500 * time.Millisecond
+	submissionTime = 30 * time.Second
 	// The rule on tasks that last: nothing runs for restartBound, from lastRunBound after the last run, and
 	// the time before is calm for calmBound.
 	restartBound = 3 * time.Second
@@ -26,9 +24,9 @@
 	watchedTime  = 25 * time.Second
 )
 
-// flap: two of seven executors go down and up twice, one after the other. Afterwards all is calm, and
-// most of the capacity is free.
-func flap(d *deployment, trouble bool) ([]string, error) {
+// crash: an executor crashes half a second after many jobs that last were handed in, and is back soon.
+// Afterwards all is calm, and most of the capacity is free.
+func crash(d *deployment, trouble bool) ([]string, error) {
 	if err := d.addService("work", executorCount, executorCPU, true); err != nil {
 		return nil, err
 	}
@@ -38,42 +36,53 @@
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
-	for n := range lastingJobs {
-		steps := []step{{Count: lastingTasks, CPU: 400, Memory: 100, Estimate: 1000, Lasting: true}}
-		if !d.submit("lasting", fmt.Sprintf("%016x", 0xa000+n), &job{Specification: "lasting", Steps: steps}) {
-			return nil, fmt.Errorf("a lasting job was not accepted")
-		}
-	}
 	var clients sync.WaitGroup
 	end := time.Now().Add(submissionTime)
 	clients.Go(func() { d.submitShort(end) })
-	time.Sleep(5 * time.Second)
-	for n := range flappingExecutors * crashesEach {
-		if trouble {
-			e := d.executors[n/crashesEach]
-			e.crash()
-			time.Sleep(crashDowntime)
-			if err := e.begin(); err != nil {
-				return nil, err
-			}
+	time.Sleep(3 * time.Second)
+	if !d.submitLasting() {
+		return nil, fmt.Errorf("a lasting job was not accepted")
+	}
+	time.Sleep(crashAfter)
+	if trouble {
+		e := d.executors[executorCount-1]
+		e.crash()
+		time.Sleep(crashDowntime)
+		if err := e.begin(); err != nil {
+			return nil, err
 		}
-		time.Sleep(crashUptime)
 	}
 	calmFrom := d.now()
 	d.note("all is calm from now on")
-	clients.Wait()
 	var found []string
 	reported := map[string]bool{}
 	for d.now() < calmFrom+watchedTime {
 		time.Sleep(100 * time.Millisecond)
 		found = append(found, d.lostLasting(calmFrom, reported)...)
 	}
+	clients.Wait()
 	for _, r := range d.unfinished("short") {
 		d.note("job %s is not completed %v after the last crash", r, watchedTime)
 	}
 	return found, nil
 }
 
+// submitLasting hands the jobs that last in, all at once, and returns whether they were accepted.
+func (d *deployment) submitLasting() bool {
+	var clients sync.WaitGroup
+	var refused atomic.Bool
+	for n := range lastingJobs {
+		clients.Go(func() {
+			steps := []step{{Count: lastingTasks, CPU: 400, Memory: 100, Estimate: 1000, Lasting: true}}
+			if !d.submit("lasting", fmt.Sprintf("%016x", 0xa000+n), &job{Specification: "lasting", Steps: steps}) {
+				refused.Store(true)
+			}
+		})
+	}
+	clients.Wait()
+	return !refused.Load()
+}
+
 // submitShort submits short jobs until a time.
 func (d *deployment) submitShort(end time.Time) {
 	for n := 0; time.Now().Before(end); n++ {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,7 +17,7 @@
 
 var scenarios = map[string]scenario{
 	"burst":       burst,
-	"flap":        flap,
+	"crash":       crash,
 	"late-start":  lateStart,
 	"lost-answer": lostAnswer,
 }
