review: case 6, late acknowledgements make completed tasks run again

Calls with an acknowledgement get no answer and are delivered 7 to 9 s late, after a restart of the executor under its identifier. They delete ends that nobody has read, and the tasks run again.

--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -29,6 +29,8 @@
 	Start    time.Duration
 	End      time.Duration
 	How      string
+	// Lapsed is whether the executor's lease expired after the end, before that was noted.
+	Lapsed bool
 	// NotedAt is when an acknowledgement reached the end of the run, zero before.
 	NotedAt    time.Duration
 	Checkpoint string
@@ -68,6 +70,7 @@
 	finished []*run
 	sequence int64
 	beats    int64
+	draining bool
 	changed  chan struct{}
 }
 
@@ -146,12 +149,16 @@
 	if e.proxied != "" {
 		address = e.proxied
 	}
-	return map[string]any{
+	entry := map[string]any{
 		"service": e.service, "address": address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "machine": e.machine,
 		"capacity": map[string]any{"cpu": e.capacity, "task_memory_mb": 32768, "gpus": 0},
 		"labels":   []string{"a", e.rack}, "clock_ms": e.clock().Milliseconds(),
 	}
+	if e.draining {
+		entry["state"], entry["remaining_ms"] = "draining", drainTimeout.Milliseconds()
+	}
+	return entry
 }
 
 // expire kills everything once the lease has expired.
@@ -164,6 +171,9 @@
 			return
 		}
 		if e.clock() > e.lease {
+			for _, r := range e.finished {
+				e.p.noteLapse(r)
+			}
 			for _, r := range e.running {
 				e.end(r, "lapsed")
 			}
@@ -293,7 +303,8 @@
 	if r.spec == nil || r.spec.Lasting {
 		return
 	}
-	r.timer = time.AfterFunc(r.spec.duration, func() {
+	_, _, _, index := taskOf(r.Task)
+	r.timer = time.AfterFunc(r.spec.duration+time.Duration(index)*r.spec.spread, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.alive && e.running[r.Task] == r {
--- a/review/standin-2/job.go
+++ b/review/standin-2/job.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// step is a step of a job as a client submits it; duration is how long a sound executor works on a task.
+// step is a step of a job as a client submits it; duration is how long a sound executor works on a task,
+// and spread how much longer on each further one of the step.
 type step struct {
 	Count        int   `json:"count"`
 	CPU          int64 `json:"cpu"`
@@ -16,6 +17,7 @@
 	Lasting      bool  `json:"long_running,omitempty"`
 
 	duration time.Duration
+	spread   time.Duration
 }
 
 // job is a job that a client submits.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,8 @@
 var scenarios = map[string]scenario{
 	"burst":       burst,
 	"crash":       crash,
-	"late-start":  lateStart,
+	"drain":       drain,
+	"late-ack":    lateAck,
 	"lost-answer": lostAnswer,
 }
 
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -130,6 +130,13 @@
 	p.note("end %s run %d on %s: %s", r.Task, r.Number, r.Executor, how)
 }
 
+// noteLapse records that the lease of a run's executor has expired since the end of the run.
+func (p *platform) noteLapse(r *run) {
+	p.mu.Lock()
+	r.Lapsed = true
+	p.mu.Unlock()
+}
+
 // noted records that an acknowledgement has reached the end of a run.
 func (p *platform) noted(r *run) {
 	p.mu.Lock()
@@ -145,7 +152,7 @@
 	runs := make([]run, 0, len(p.runs))
 	for _, r := range p.runs {
 		runs = append(runs, run{
-			Task: r.Task, Number: r.Number, Executor: r.Executor, Born: r.Born, Token: r.Token, Start: r.Start, End: r.End, How: r.How, NotedAt: r.NotedAt,
+			Task: r.Task, Number: r.Number, Executor: r.Executor, Born: r.Born, Token: r.Token, Start: r.Start, End: r.End, How: r.How, Lapsed: r.Lapsed, NotedAt: r.NotedAt,
 		})
 	}
 	slices.SortStableFunc(runs, func(a, b run) int { return int(a.Start - b.Start) })
