review: case 10, an entry with missing fields brings tasks to another service

An executor entry of another writer that lacks most fields is applied, also its service, and 8 tasks of one service's queue start on an executor of another. The case on draining executors gives way again.

--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -70,7 +70,6 @@
 	finished []*run
 	sequence int64
 	beats    int64
-	draining bool
 	changed  chan struct{}
 }
 
@@ -149,16 +148,12 @@
 	if e.proxied != "" {
 		address = e.proxied
 	}
-	entry := map[string]any{
+	return map[string]any{
 		"service": e.service, "address": address, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
 		"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "machine": e.machine,
 		"capacity": map[string]any{"cpu": e.capacity, "task_memory_mb": 32768, "gpus": 0},
 		"labels":   []string{"a", e.rack}, "clock_ms": e.clock().Milliseconds(),
 	}
-	if e.draining {
-		entry["state"], entry["remaining_ms"] = "draining", drainTimeout.Milliseconds()
-	}
-	return entry
 }
 
 // expire kills everything once the lease has expired.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,7 +18,7 @@
 var scenarios = map[string]scenario{
 	"burst":       burst,
 	"crash":       crash,
-	"drain":       drain,
+	"odd-entry":   oddEntry,
 	"late-ack":    lateAck,
 	"lost-answer": lostAnswer,
 }
