fulmarsched: each incarnation of an executor gets its own fencing token

Cause: an executor that restarts under its ID has seen no fencing token, and the owner had one token for its term. An acknowledgement for the earlier incarnation that arrived after the restart was carried out, and deleted ends that no list had shown; their runs counted as missing.

Change: the token of the commands to an incarnation is the revision of the owner's newest append, above all that earlier incarnations were sent and below that of any later owner. A start also carries a token above each acknowledgement without a response if the executor may have restarted since its last report, and no acknowledgement is sent beside such a start. A renewal or start that a higher token has overtaken is sent again at once.

--- a/internal/fulmarledger/journal.go
+++ b/internal/fulmarledger/journal.go
@@ -168,6 +168,10 @@
 	}
 }
 
+// Revision returns the revision of the newest append of this ownership, or that of the ownership itself
+// before the first one. It is below the revision of any later ownership.
+func (j *Journal) Revision() int64 { return max(j.head, j.ownership.revision) }
+
 // CompactionKeys returns the keys whose records the next append should repeat, so that
 // the oldest segment can be deleted afterwards.
 func (j *Journal) CompactionKeys() []string {
--- a/internal/fulmarowner/append.go
+++ b/internal/fulmarowner/append.go
@@ -69,6 +69,6 @@
 		return
 	}
 	t.options.Metrics.Observe("append", now-e.started)
-	t.scheduler.Committed(now, e.batch)
+	t.scheduler.Committed(now, e.batch, t.journal.Revision())
 	respond(e.pending)
 }
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -67,7 +67,7 @@
 
 func (e renewalCompleted) apply(t *term, now fulmarclock.Millis) {
 	if e.result != fulmarjob.ResultDone {
-		t.scheduler.HandleRenewalFailure(now, e.command.Target, e.result)
+		t.scheduler.HandleRenewalFailure(now, e.command, e.result)
 		return
 	}
 	t.scheduler.HandleRenewal(now, e.sent, e.command, e.report)
--- a/internal/fulmarsched/capacity.go
+++ b/internal/fulmarsched/capacity.go
@@ -27,7 +27,7 @@
 // this run. Until the executor reports its end, the run counts against the capacity.
 func (s *Scheduler) stopUnexpectedRun(e *executor, r fulmarjob.RunningTask, sentAt fulmarclock.Millis) {
 	s.log.Log("stopping unexpected run", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index, "run", r.Run, "executor", e.info.ID)
-	s.commands = append(s.commands, StopCommand{Target: e.target(), Task: r.Task, Run: r.Run, Token: s.token})
+	s.commands = append(s.commands, StopCommand{Target: e.target(), Task: r.Task, Run: r.Run, Token: e.fence.token})
 	resources, found := s.reservedBy(r.Task)
 	e.addStrayRun(runKey{r.Task, r.Run}, strayRun{resources: resources, hasUnknownSize: !found, assumedUntil: sentAt})
 	s.scheduleRenewal(e, s.now+minRenewalInterval)
--- a/internal/fulmarsched/claim.go
+++ b/internal/fulmarsched/claim.go
@@ -17,7 +17,7 @@
 
 // mayHaveRuns reports whether runs may be present on the known incarnation of the executor.
 func (e *executor) mayHaveRuns() bool {
-	return !e.retired && (e.tokenAccepted || len(e.tasks) > 0)
+	return !e.retired && (e.fence.accepted || len(e.tasks) > 0)
 }
 
 // claimIncarnation keeps an entry that names another incarnation than the known one, which may have
--- a/internal/fulmarsched/claimorder_test.go
+++ b/internal/fulmarsched/claimorder_test.go
@@ -52,7 +52,7 @@
 			sim := newSimulation(t, 1)
 			sim.completeJobs(1, 1)
 			sim.executors[0].entry = odd.of(sim.executors[0].info)
-			sim.scheduler = New(sim.now, testParameters, sim.token, sim.counts)
+			sim.scheduler = New(sim.now, testParameters, sim.revision, sim.counts)
 			sim.scheduler.SetConfiguration(sim.now, sim.configuration)
 			sim.scheduler.UpdateExecutor(sim.now, sim.executors[0].entry)
 			sim.runUntil(sim.now + 300)
--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -12,6 +12,8 @@
 	renewalFraction = 0.25
 	// startValidity is how long a start command may be executed after it was sent.
 	startValidity = 2500 * fulmarclock.Millis(1)
+	// minRestartDuration is the shortest time in which an executor restarts.
+	minRestartDuration = 100 * fulmarclock.Millis(1)
 	// resendDelay is the delay before a start or stop without a result is sent again.
 	resendDelay = 400 * fulmarclock.Millis(1)
 	// expiryMargin is added to leasesEndBy before the leases count as expired.
--- a/internal/fulmarsched/delayedreport_test.go
+++ b/internal/fulmarsched/delayedreport_test.go
@@ -133,7 +133,7 @@
 
 // reportLate has an executor report now, and returns a function that passes the report on.
 func (s *simulation) reportLate(e *fakeExecutor) func() {
-	c, sent := RenewCommand{Target: s.scheduler.executors[e.info.ID].target(), Token: s.token}, s.now
+	c, sent := RenewCommand{Target: s.scheduler.executors[e.info.ID].target(), Token: s.scheduler.executors[e.info.ID].fence.token}, s.now
 	_, report := e.renewLease(c)
 	return func() { s.scheduler.HandleRenewal(s.now, sent, c, report) }
 }
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -33,8 +33,7 @@
 	laterLeasesEndBy fulmarclock.Millis
 	// lastDeadline is the latest deadline sent to this incarnation, on its clock.
 	lastDeadline fulmarclock.Millis
-	// tokenAccepted means that this incarnation has accepted the scheduler's fencing token.
-	tokenAccepted bool
+	fence        fence
 
 	renewalInFlight bool
 	// renewalDue is when the next renewal is sent; zero for none.
@@ -44,6 +43,8 @@
 	lastResultAt fulmarclock.Millis
 	// reportSentAt is when the renewal was sent that got the last report.
 	reportSentAt fulmarclock.Millis
+	// reportedAt is when that report arrived.
+	reportedAt fulmarclock.Millis
 	// failedRenewals is the number of failed renewals since the last report.
 	failedRenewals int
 	// finishedSeen is the sequence number of the last finished run that was reported, acknowledged
@@ -90,7 +91,7 @@
 }
 
 func (s *Scheduler) newExecutor(id string) *executor {
-	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now}
+	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now, fence: s.newFence()}
 	e.info.ID = id
 	s.executors[id] = e
 	at, _ := slices.BinarySearchFunc(s.executorList, id, compareID)
@@ -111,6 +112,7 @@
 // deleteExecutor removes an executor from the scheduler's state.
 func (s *Scheduler) deleteExecutor(e *executor) {
 	delete(s.executors, e.info.ID)
+	s.deletedToken = max(s.deletedToken, e.fence.token)
 	if at, found := slices.BinarySearchFunc(s.executorList, e.info.ID, compareID); found {
 		s.executorList = slices.Delete(s.executorList, at, at+1)
 		s.serviceIndex = nil
@@ -127,7 +129,12 @@
 // isSchedulable reports whether new tasks may be placed on the executor. One with more finished runs
 // than it lists is left to catch up.
 func (e *executor) isSchedulable(now fulmarclock.Millis) bool {
-	return e.listed && !e.retired && e.tokenAccepted && !e.hasClaim() && e.supersededAt == 0 && !e.info.Draining && !e.cordoned && e.failedRenewals == 0 && !e.moreFinished && now >= e.avoidUntil
+	return e.listed && !e.retired && e.fence.accepted && !e.hasClaim() && e.supersededAt == 0 && !e.info.Draining && !e.cordoned && e.failedRenewals == 0 && !e.moreFinished && now >= e.avoidUntil
+}
+
+// mayHaveRestarted reports whether the executor may have restarted since its last report.
+func (e *executor) mayHaveRestarted(now fulmarclock.Millis) bool {
+	return now > e.reportedAt+minRestartDuration
 }
 
 // clockLowerBound returns a lower bound of the executor's clock at the scheduler's time now.
@@ -223,7 +230,7 @@
 	if e.info.Service != info.Service {
 		s.serviceIndex = nil
 	}
-	if e.tokenAccepted && e.hasListedVM && e.info.Incarnation == info.Incarnation {
+	if e.fence.accepted && e.hasListedVM && e.info.Incarnation == info.Incarnation {
 		// An incarnation keeps its VM.
 		info.VM = e.info.VM
 	}
@@ -238,7 +245,7 @@
 		e.failedRenewals = 0
 		s.scheduleRenewal(e, 0)
 	}
-	if e.tokenAccepted {
+	if e.fence.accepted {
 		s.confirmEntry(e)
 	}
 }
--- a/internal/fulmarsched/incarnation.go
+++ b/internal/fulmarsched/incarnation.go
@@ -66,7 +66,8 @@
 	crash := s.crashOf(e)
 	e.info.Incarnation = incarnation
 	e.forgetStrayRuns(s.now)
-	e.hasClock, e.tokenAccepted, e.clock, e.renewalInFlight = false, false, 0, false
+	e.fence.beginIncarnation(s.revision)
+	e.hasClock, e.clock, e.renewalInFlight = false, 0, false
 	e.finishedSeen, e.acknowledged, e.acknowledgementConfirmed, e.countsFromStart = 0, 0, 0, true
 	e.moreFinished = false
 	e.lastDeadline, e.hasListedVM = 0, false
--- a/internal/fulmarsched/placement.go
+++ b/internal/fulmarsched/placement.go
@@ -76,7 +76,7 @@
 // ended under a previous owner, and repeats stops and starts that had no result or could not be sent
 // before.
 func (s *Scheduler) retryCommand(e *executor, t *task) {
-	if t.job.state.IsFinal() && !t.stopping && e.tokenAccepted {
+	if t.job.state.IsFinal() && !t.stopping && e.fence.accepted {
 		s.stopRun(t, stopJobEnded)
 		return
 	}
@@ -91,7 +91,7 @@
 		return
 	}
 	mayHaveEnded := t.inherited && e.moreFinished
-	if t.startsSent == 0 && t.confirmedAt == 0 && !t.stopping && e.tokenAccepted && !mayHaveEnded {
+	if t.startsSent == 0 && t.confirmedAt == 0 && !t.stopping && e.fence.accepted && !mayHaveEnded {
 		s.sendStart(t)
 		return
 	}
--- a/internal/fulmarsched/placementlimit_test.go
+++ b/internal/fulmarsched/placementlimit_test.go
@@ -16,7 +16,7 @@
 	gang.Gang = true
 	sim.submit(jobID(2), gang)
 	s.LimitPlacements(5)
-	s.Committed(sim.now, s.Plan(sim.now, sim.unixMillis(), nil))
+	s.Committed(sim.now, s.Plan(sim.now, sim.unixMillis(), nil), sim.revision)
 	s.LimitPlacements(5)
 	quicktest.Assert(t, s.Plan(sim.now, sim.unixMillis(), nil).placedTasks, quicktest.HasLen, 0)
 	s.TakeCommands()
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -34,23 +34,25 @@
 // sendRenewal sends a lease renewal, which also acknowledges finished runs and requests a report.
 func (s *Scheduler) sendRenewal(e *executor) {
 	e.renewalInFlight, e.renewalDue, e.renewalSentAt = true, 0, s.now
-	c := RenewCommand{Target: e.target(), Token: s.token, Acknowledged: s.dueAcknowledgement(e)}
+	c := RenewCommand{Target: e.target(), Token: e.fence.token, Acknowledged: s.dueAcknowledgement(e)}
 	// A renewal to an unresponsive executor only requests a report: its lease must expire.
 	if e.hasClock && e.failedRenewals == 0 && !e.unresponsive.recorded && len(e.tasks) > 0 {
 		c.Deadline = e.clockLowerBound(s.now) + s.leaseDuration()
 		e.extendLeaseBound(s.now, c.Deadline, s.params.MaxLease)
 	}
 	hasAllEnds := e.finishedSeen == max(e.acknowledgementConfirmed, c.Acknowledged)
-	if e.tokenAccepted && e.failedRenewals == 0 && hasAllEnds && len(e.tasks) > 0 && !e.watchesRepeatSuspect() {
+	if e.fence.accepted && e.failedRenewals == 0 && hasAllEnds && len(e.tasks) > 0 && !e.watchesRepeatSuspect() {
 		c.Wait = s.pollWait(e)
 	}
+	e.fence.noteSent(c)
 	s.commands = append(s.commands, c)
 }
 
 // dueAcknowledgement returns the sequence number up to which a renewal acknowledges finished runs,
 // zero for none. A later incarnation under the executor's ID numbers its finished runs anew, and the
-// number would delete those that nobody has read. So each number is sent once, and not while a start
-// is on its way that could have ended on a later incarnation: a report comes first.
+// number would delete those that nobody has read. So it is not sent while a start is on its way that
+// could have ended on a later incarnation: a report comes first. An acknowledgement without a response
+// is repeated; the fence keeps the earlier one from following a later start.
 func (s *Scheduler) dueAcknowledgement(e *executor) int64 {
 	if e.acknowledged == e.acknowledgementConfirmed || e.failedRenewals > 0 || s.hasUnreportedStart(e) {
 		return 0
@@ -58,11 +60,14 @@
 	return e.acknowledged
 }
 
-// hasUnreportedStart reports whether a start was sent earlier whose run no report has shown. One that
-// is sent together with an acknowledgement can't end before that arrives.
+// hasUnreportedStart reports whether a start was sent whose run no report has shown. One that is sent
+// together with an acknowledgement counts only if the executor may have restarted before.
 func (s *Scheduler) hasUnreportedStart(e *executor) bool {
 	for _, t := range e.tasks {
-		if t.runningSince == 0 && t.startsSent > 0 && t.startSentAt < s.now && !t.mayBeUnlisted() {
+		if t.runningSince > 0 || t.startsSent == 0 || t.mayBeUnlisted() {
+			continue
+		}
+		if t.startSentAt < s.now || e.mayHaveRestarted(s.now) {
 			return true
 		}
 	}
@@ -95,14 +100,18 @@
 }
 
 // HandleRenewalFailure handles a lease renewal that got no response, or that the executor did not
-// execute.
-func (s *Scheduler) HandleRenewalFailure(now fulmarclock.Millis, target Target, result fulmarjob.CommandResult) {
+// execute. A start that the executor has executed before may have had a higher token.
+func (s *Scheduler) HandleRenewalFailure(now fulmarclock.Millis, c RenewCommand, result fulmarjob.CommandResult) {
 	s.now = now
-	e := s.executors[target.ID]
-	if e == nil || e.info.Incarnation != target.Incarnation || e.retired {
+	e := s.executors[c.Target.ID]
+	if e == nil || e.info.Incarnation != c.Target.Incarnation || e.retired {
 		return
 	}
 	e.renewalInFlight = false
+	if result == fulmarjob.ResultFenced && c.Token < e.fence.token {
+		s.scheduleRenewal(e, 0)
+		return
+	}
 	e.failedRenewals++
 	if e.isSuperseded(result) {
 		s.retireCrashed(e)
@@ -127,19 +136,24 @@
 		return
 	}
 	e.renewalInFlight = false
-	if !e.isOtherIncarnation(report.Incarnation) {
+	isExpected := !e.isOtherIncarnation(report.Incarnation)
+	if isExpected {
 		e.acknowledgementConfirmed = max(e.acknowledgementConfirmed, c.Acknowledged)
+		e.fence.noteResponse(c)
 	}
 	s.resolveIncarnation(e, report.Incarnation, sentAt)
 	if e.failedRenewals > 0 {
 		s.log.Log("executor responds again", "executor", e.info.ID, "failures", e.failedRenewals)
 	}
-	tokenWasAccepted := e.tokenAccepted
-	e.failedRenewals, e.tokenAccepted, e.lastResultAt, e.reportSentAt, e.supersededAt = 0, true, now, sentAt, 0
+	tokenWasAccepted := e.fence.accepted
+	e.fence.accepted = isExpected
+	e.failedRenewals, e.lastResultAt, e.reportSentAt, e.reportedAt, e.supersededAt = 0, now, sentAt, now, 0
 	s.clearUnresponsive(e)
 	e.setClock(report.ClockTime, now)
 	if !tokenWasAccepted {
 		s.confirmEntry(e)
+	}
+	if e.fence.accepted && !tokenWasAccepted {
 		s.log.Log("executor accepted the fencing token", "executor", e.info.ID, "running", len(report.Running), "ended", len(report.Finished), "placed", len(e.tasks))
 	}
 	s.dropLapse(e.info.VM)
@@ -158,6 +172,10 @@
 // scheduleNextRenewal schedules the renewal after a report. An executor without tasks, stray runs
 // and unacknowledged finished runs needs none.
 func (s *Scheduler) scheduleNextRenewal(e *executor, tokenWasAccepted bool) {
+	if !e.fence.accepted {
+		s.scheduleRenewal(e, 0)
+		return
+	}
 	if len(e.tasks) == 0 && len(e.strayRuns) == 0 && e.finishedSeen == e.acknowledgementConfirmed {
 		return
 	}
--- a/internal/fulmarsched/scale_test.go
+++ b/internal/fulmarsched/scale_test.go
@@ -34,7 +34,7 @@
 		})
 	}
 	for _, e := range s.executorList {
-		e.tokenAccepted, e.used.MilliCPU = true, e.info.Capacity.MilliCPU-1500
+		e.fence.accepted, e.used.MilliCPU = true, e.info.Capacity.MilliCPU-1500
 	}
 	for q := range configuration.Queues {
 		for i := range endedPerQueue + waitingPerQueue {
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -11,7 +11,7 @@
 //	decision := scheduler.Submit(now, unixMillis, submission)
 //	batch := scheduler.Plan(now, unixMillis, rewrite)  // places tasks
 //	…append batch.Records to the journal…
-//	scheduler.Committed(now, batch)
+//	scheduler.Committed(now, batch, journal.Revision())
 //	commands := scheduler.TakeCommands()               // execute them and pass back the results
 //
 // A command that depends on a record (a start, the acknowledgement of a finished run, maintenance
@@ -56,8 +56,13 @@
 // Scheduler holds all jobs, and the known state of executors and VMs.
 type Scheduler struct {
 	params Parameters
-	token  int64
-	log    Logger
+	// token is the fencing token of the commands about VMs, and the lowest one of those to executors.
+	token int64
+	// revision is the revision of the newest append to the journal, or token before the first one.
+	revision int64
+	// deletedToken is the highest token of the executors that were deleted.
+	deletedToken int64
+	log          Logger
 
 	// now and unixMillis are the times of the latest event.
 	now        fulmarclock.Millis
@@ -123,10 +128,11 @@
 	commands []Command
 }
 
-// New returns a scheduler whose commands carry the fencing token.
+// New returns a scheduler whose commands carry the fencing token, or a higher one to executors that have
+// restarted.
 func New(now fulmarclock.Millis, params Parameters, token int64, log Logger) *Scheduler {
 	return &Scheduler{
-		params: params, token: token, log: log, now: now, startedAt: now,
+		params: params, token: token, revision: token, log: log, now: now, startedAt: now,
 		jobs:           map[string]*job{},
 		executors:      map[string]*executor{},
 		waves:          map[int64]*wave{},
@@ -143,7 +149,7 @@
 	}
 }
 
-// Token returns the fencing token that the commands carry.
+// Token returns the fencing token of the commands about VMs.
 func (s *Scheduler) Token() int64 { return s.token }
 
 // SetConfiguration applies a configuration, unless a newer version is already in use.
@@ -238,9 +244,11 @@
 	return b
 }
 
-// Committed releases the commands that depend on a batch, once the batch is in the journal.
-func (s *Scheduler) Committed(now fulmarclock.Millis, b *Batch) {
+// Committed releases the commands that depend on a batch, once the batch is in the journal. revision is
+// the journal's revision since then.
+func (s *Scheduler) Committed(now fulmarclock.Millis, b *Batch, revision int64) {
 	s.now, s.journaledUntil = now, b.plannedAt
+	s.revision = max(s.revision, revision)
 	s.commitUnresponsive(b.Records)
 	for _, t := range b.placedTasks {
 		t.journaled = true
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -152,12 +152,12 @@
 		s.executeLate(n, e, func() { e.renewLease(c) })
 	}
 	if !e.alive || e.unresponsive || lost {
-		respond(s.now+c.Wait+800, func() { s.scheduler.HandleRenewalFailure(s.now, c.Target, fulmarjob.ResultUnknown) })
+		respond(s.now+c.Wait+800, func() { s.scheduler.HandleRenewalFailure(s.now, c, fulmarjob.ResultUnknown) })
 		return
 	}
 	result, report := e.renewLease(c)
 	if result != fulmarjob.ResultDone {
-		respond(s.now+simulationStep, func() { s.scheduler.HandleRenewalFailure(s.now, c.Target, result) })
+		respond(s.now+simulationStep, func() { s.scheduler.HandleRenewalFailure(s.now, c, result) })
 		return
 	}
 	if s.longPolls && c.Wait > 0 {
@@ -177,7 +177,7 @@
 			return
 		}
 		if !e.alive || e.unresponsive || e.info.Incarnation != incarnation {
-			s.scheduler.HandleRenewalFailure(s.now, c.Target, fulmarjob.ResultUnknown)
+			s.scheduler.HandleRenewalFailure(s.now, c, fulmarjob.ResultUnknown)
 			return
 		}
 		s.scheduler.HandleRenewal(s.now, sent, c, e.report())
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -41,10 +41,11 @@
 
 // simulation runs a scheduler with fake executors and a fake journal.
 type simulation struct {
-	t                *testing.T
-	now              fulmarclock.Millis
-	scheduler        *Scheduler
-	token            int64
+	t         *testing.T
+	now       fulmarclock.Millis
+	scheduler *Scheduler
+	// revision is that of the newest change of the journal or its ownership.
+	revision         int64
 	executors        []*fakeExecutor
 	journal          map[string]json.RawMessage
 	jobs             map[string]fulmarjob.Specification
@@ -176,9 +177,9 @@
 // previous one are lost.
 func (s *simulation) newOwner() {
 	s.generation++
-	s.token++
+	s.revision++
 	s.batch = nil
-	s.scheduler = New(s.now, testParameters, s.token, s.counts)
+	s.scheduler = New(s.now, testParameters, s.revision, s.counts)
 	var records []Record
 	for _, key := range sortedKeys(s.journal) {
 		records = append(records, Record{Key: key, Value: s.journal[key]})
@@ -319,7 +320,7 @@
 		s.applyBatch(s.batch)
 		b := s.batch
 		s.batch = nil
-		s.scheduler.Committed(s.now, b)
+		s.scheduler.Committed(s.now, b, s.revision)
 	}
 	if s.batch == nil {
 		if b := s.scheduler.Plan(s.now, s.unixMillis(), nil); !b.IsEmpty() {
@@ -329,6 +330,9 @@
 }
 
 func (s *simulation) applyBatch(b *Batch) {
+	if len(b.Records) > 0 {
+		s.revision++
+	}
 	for _, r := range b.Records {
 		if r.Value == nil {
 			delete(s.journal, r.Key)
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -20,13 +20,14 @@
 		s.withdrawStart(t)
 		return
 	}
+	e.fence.beginStart(s.revision, e.mayHaveRestarted(s.now))
 	t.startSentAt = s.now
 	t.startsSent++
 	deadline := e.clockLowerBound(s.now) + startValidity
 	e.extendLeaseBound(s.now, deadline, s.params.MaxLease)
 	s.commands = append(s.commands, StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{
 		Task: t.id, Run: t.run, Payload: t.job.specification.Payload, Checkpoint: t.checkpoint,
-		Deadline: deadline, Token: s.token, Ticket: s.ticketOf(t),
+		Deadline: deadline, Token: e.fence.token, Ticket: s.ticketOf(t),
 	}})
 }
 
@@ -49,7 +50,7 @@
 		return
 	}
 	s.log.Log("start command not confirmed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", e.info.ID, "answer", result, "sent", t.startsSent, "attempts", attempts)
-	s.handleRefusedStart(e, t, attempts, result)
+	s.handleRefusedStart(e, t, c.Start.Token, attempts, result)
 }
 
 func (s *Scheduler) handleStarted(e *executor, t *task) {
@@ -65,10 +66,18 @@
 
 // handleRefusedStart ends the placement of a task whose start was refused. If the start was sent
 // more than once, another command or attempt may have been executed, or may be later. Then, and after
-// an unknown result or a higher fencing token, the next report decides.
-func (s *Scheduler) handleRefusedStart(e *executor, t *task, attempts int, result fulmarjob.CommandResult) {
+// an unknown result or a later owner's fencing token, the next report decides. A start that a later one
+// of this owner has overtaken, with a higher token, is sent again.
+func (s *Scheduler) handleRefusedStart(e *executor, t *task, token int64, attempts int, result fulmarjob.CommandResult) {
 	switch result {
-	case fulmarjob.ResultUnknown, fulmarjob.ResultFenced:
+	case fulmarjob.ResultUnknown:
+		s.scheduleProbe(e)
+		return
+	case fulmarjob.ResultFenced:
+		if token < e.fence.token {
+			s.sendStart(t)
+			return
+		}
 		s.scheduleProbe(e)
 		return
 	case fulmarjob.ResultUnreachable:
--- a/internal/fulmarsched/stop.go
+++ b/internal/fulmarsched/stop.go
@@ -28,7 +28,7 @@
 func (s *Scheduler) sendStop(t *task) {
 	t.stopSentAt = s.now
 	e := t.executor
-	s.commands = append(s.commands, StopCommand{Target: e.target(), Task: t.id, Run: t.run, Token: s.token})
+	s.commands = append(s.commands, StopCommand{Target: e.target(), Task: t.id, Run: t.run, Token: e.fence.token})
 	s.scheduleRenewal(e, s.now+minRenewalInterval)
 }
 
--- a/internal/fulmarsched/throttle.go
+++ b/internal/fulmarsched/throttle.go
@@ -49,5 +49,5 @@
 		return
 	}
 	t.speed = speed
-	s.commands = append(s.commands, ThrottleCommand{Target: e.target(), Task: t.id, Run: t.run, Token: s.token, Percent: speed})
+	s.commands = append(s.commands, ThrottleCommand{Target: e.target(), Task: t.id, Run: t.run, Token: e.fence.token, Percent: speed})
 }
--- a/internal/fulmarsched/wave.go
+++ b/internal/fulmarsched/wave.go
@@ -136,7 +136,7 @@
 		if e == nil && s.now > w.receivedAt+missingExecutorTimeout && best == nil {
 			best, bestWork = m, math.MaxFloat64
 		}
-		if e == nil || e.info.Draining || !e.tokenAccepted || !isBehind && s.isPoolBusy(e.info.Service) {
+		if e == nil || e.info.Draining || !e.fence.accepted || !isBehind && s.isPoolBusy(e.info.Service) {
 			continue
 		}
 		work := float64(e.used.MilliCPU) + longRunningWeight*float64(countLongRunning(e))
