fulmarsched: one call for placement advice at a time, shorter than its tickets

Cause: a ticket's validity is counted from its call, and the time to the answer was made longer by us: two calls at a time wait for each other at the advisor, each about up to 30 executors. Once queue and work exceed the validity, every ticket has expired on arrival, and the repeated calls keep each other late. The configuration says how long a call takes; nobody read it.

Change: one call at a time, for the step that has waited longest; it names the executors that the waiting tasks need and takes at most half of the validity (three quarters for a gang). Tickets are kept by executor and life. A ticket is tried on arrival even if a call about one executor takes longer than the validity. The call's timeout begins after its work.

--- a/internal/fulmarjob/configuration.go
+++ b/internal/fulmarjob/configuration.go
@@ -1,6 +1,7 @@
 package fulmarjob
 
 import (
+	"math"
 	"strings"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
@@ -32,6 +33,41 @@
 	Timeout       fulmarclock.Millis
 	// NeedsPlacementAdvice means that only the placement advisor knows which executors may run a step.
 	NeedsPlacementAdvice bool `json:"NeedsAdvice"`
+	// Advice is what the configuration says of the advisor's calls for this queue.
+	Advice AdviceTimes `json:"Advice,omitzero"`
+}
+
+// AdviceTimes is how long the placement advisor takes and its tickets are valid. The zero value means
+// that nothing is known.
+type AdviceTimes struct {
+	// Decision is the time for a call, to which PerExecutor is added for each executor that it names.
+	Decision    fulmarclock.Millis
+	PerExecutor fulmarclock.Millis
+	// Validity is how long a ticket is valid.
+	Validity fulmarclock.Millis
+}
+
+// CallDuration returns how long the advisor works on a call about a number of executors.
+func (a AdviceTimes) CallDuration(executors int) fulmarclock.Millis {
+	return a.Decision + a.PerExecutor*fulmarclock.Millis(executors)
+}
+
+// MaxExecutors returns the most executors, at least 1, in a call that takes no more than a fraction of
+// the validity of its tickets.
+func (a AdviceTimes) MaxExecutors(fraction float64) int {
+	if a.PerExecutor == 0 || a.Validity == 0 {
+		return math.MaxInt
+	}
+	duration := fulmarclock.Millis(float64(a.Validity)*fraction) - a.Decision
+	return max(1, int(duration/a.PerExecutor))
+}
+
+// ExecutorsPerDecision returns how many executors a call can name for as much time as it takes anyway.
+func (a AdviceTimes) ExecutorsPerDecision() int {
+	if a.PerExecutor == 0 {
+		return math.MaxInt
+	}
+	return int(a.Decision / a.PerExecutor)
 }
 
 // Service is a pool of executors.
--- a/internal/fulmarjob/configuration_test.go
+++ b/internal/fulmarjob/configuration_test.go
@@ -1,9 +1,12 @@
 package fulmarjob
 
 import (
+	"math"
 	"testing"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
 
 func TestQueueFor(t *testing.T) {
@@ -38,3 +41,13 @@
 	_, found = configuration.ServiceByName("web")
 	quicktest.Assert(t, found, quicktest.IsFalse)
 }
+
+func TestAdviceCallFitsIntoValidityOfItsTickets(t *testing.T) {
+	times := AdviceTimes{Decision: 300, PerExecutor: 200, Validity: 3000}
+	quicktest.Check(t, times.CallDuration(6), quicktest.Equals, fulmarclock.Millis(1500))
+	quicktest.Check(t, times.MaxExecutors(0.5), quicktest.Equals, 6)
+	quicktest.Check(t, times.ExecutorsPerDecision(), quicktest.Equals, 1)
+	quicktest.Check(t, AdviceTimes{Decision: 5000, PerExecutor: 200, Validity: 3000}.MaxExecutors(0.5), quicktest.Equals, 1)
+	quicktest.Check(t, AdviceTimes{}.MaxExecutors(0.5), quicktest.Equals, math.MaxInt)
+	quicktest.Check(t, AdviceTimes{Decision: 300, Validity: 3000}.ExecutorsPerDecision(), quicktest.Equals, math.MaxInt)
+}
--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -176,7 +176,7 @@
 
 // advise requests placement advice for a step.
 func (t *term) advise(ctx context.Context, c fulmarsched.AdviseCommand) {
-	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, (min(c.Duration, maxAdviceDuration) + adviceTimeout).Duration())
 	defer cancel()
 	sent := t.options.Clock.Now()
 	tickets, validity, err := t.options.PlacementAdvisor.Advise(callCtx, c.Step, c.Executors)
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -42,9 +42,11 @@
 	fleetTimeout = 1500 * fulmarclock.Millis(1)
 	// listInterval is the time between two listings of the platform's VMs.
 	listInterval = 1000 * fulmarclock.Millis(1)
-	// adviceTimeout is the timeout of a request to the placement advisor, which handles
-	// requests one at a time.
+	// adviceTimeout is the timeout of a call to the placement advisor beyond the time that the
+	// advisor works on it.
 	adviceTimeout = 5 * fulmarclock.Second
+	// maxAdviceDuration limits the time that the advisor is given for its work.
+	maxAdviceDuration = 600 * fulmarclock.Second
 	// reportTimeout is the timeout of one attempt to store the state of a wave,
 	// reportRetryDelay the delay between two attempts.
 	reportTimeout    = 1500 * fulmarclock.Millis(1)
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -113,6 +113,7 @@
 func (s *Scheduler) deleteExecutor(e *executor) {
 	delete(s.executors, e.info.ID)
 	s.deletedToken = max(s.deletedToken, e.fence.token)
+	s.expireTickets(e.info.ID)
 	if at, found := slices.BinarySearchFunc(s.executorList, e.info.ID, compareID); found {
 		s.executorList = slices.Delete(s.executorList, at, at+1)
 		s.serviceIndex = nil
--- a/internal/fulmarsched/fakeexecutor_test.go
+++ b/internal/fulmarsched/fakeexecutor_test.go
@@ -79,6 +79,10 @@
 	if start.Run <= e.highestRun[start.Task] {
 		return fulmarjob.ResultStaleRun
 	}
+	if a := e.sim.advisor; a != nil && !a.accepts(e, start) {
+		e.sim.ticketRefusals++
+		return fulmarjob.ResultNoTicket
+	}
 	e.lease = max(e.lease, min(start.Deadline, e.clock()+testParameters.MaxLease))
 	step := e.sim.stepOf(start.Task)
 	if e.sim.withoutAdmissionControl {
--- a/internal/fulmarsched/incarnation.go
+++ b/internal/fulmarsched/incarnation.go
@@ -67,6 +67,7 @@
 	e.info.Incarnation = incarnation
 	e.forgetStrayRuns(s.now)
 	e.fence.beginIncarnation(s.revision)
+	s.expireTickets(e.info.ID)
 	e.hasClock, e.clock, e.renewalInFlight = false, 0, false
 	e.finishedSeen, e.acknowledged, e.acknowledgementConfirmed, e.countsFromStart = 0, 0, 0, true
 	e.moreFinished = false
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -73,6 +73,7 @@
 			s.placeJob(j, c)
 		}
 	}
+	s.requestAdvice()
 }
 
 // candidates are the schedulable executors of a service.
@@ -142,6 +143,7 @@
 				continue
 			}
 			s.placeStep(o, i, s.allowedExecutors(j, o, i, c.executors))
+			s.wantAdvice(j, o, i, c.executors)
 		}
 	}
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -90,9 +90,12 @@
 	poolSummaries map[string]*poolSummary
 	vms           map[string]fulmarjob.VM
 	advice        map[stepKey]*advice
-	// adviceInFlight is the number of requests to the placement advisor that have no response yet.
-	adviceInFlight int
-	moves          map[string]*vmMove
+	// adviceInFlight means that a call to the placement advisor has no response yet.
+	adviceInFlight bool
+	// adviceWants are the steps that wait for such a call, as of the present placement.
+	adviceWants []adviceWant
+	adviceShare allowedShare
+	moves       map[string]*vmMove
 	// lapses are the executors whose lease has expired, by VM.
 	lapses map[string]*crash
 	// crashedVMs is when the executors of VMs last crashed, as far as that is recent.
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -71,14 +71,7 @@
 		s.shutDownVM(c.VM, testParameters.MoveDuration, c.Pool)
 		respond(s.now+simulationStep, func() { s.scheduler.HandleMoveResult(s.now, c.VM, c.Pool, true, false) })
 	case AdviseCommand:
-		tickets := map[string]string{}
-		for _, id := range c.Executors {
-			if s.adviceAllows(id) {
-				tickets[id] = "ticket-" + id
-			}
-		}
-		sent := s.now
-		respond(s.now+50, func() { s.scheduler.HandleAdvice(s.now, sent, c, tickets, 1000, true) })
+		s.executeAdvise(c, lost, respond)
 	case WaveReport:
 		s.waveReports = append(s.waveReports, c)
 	}
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -101,6 +101,10 @@
 	check func()
 	// adviceAllows reports whether the placement advisor allows an executor.
 	adviceAllows func(id string) bool
+	// advisor answers calls for placement advice and checks the tickets; nil allows all at once.
+	advisor *fakeAdvisor
+	// ticketRefusals counts the starts that were refused for their ticket.
+	ticketRefusals int
 	// withoutAdmissionControl makes the executors start tasks beyond their capacity, which fails
 	// the test. A capacity that shrank counts capacityGrace later.
 	withoutAdmissionControl bool
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -50,7 +50,7 @@
 		return
 	}
 	s.log.Log("start command not confirmed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", e.info.ID, "answer", result, "sent", t.startsSent, "attempts", attempts)
-	s.handleRefusedStart(e, t, c.Start.Token, attempts, result)
+	s.handleRefusedStart(e, t, c, attempts, result)
 }
 
 func (s *Scheduler) handleStarted(e *executor, t *task) {
@@ -68,13 +68,13 @@
 // more than once, another command or attempt may have been executed, or may be later. Then, and after
 // an unknown result or a later owner's fencing token, the next report decides. A start that a later one
 // of this owner has overtaken, with a higher token, is sent again.
-func (s *Scheduler) handleRefusedStart(e *executor, t *task, token int64, attempts int, result fulmarjob.CommandResult) {
+func (s *Scheduler) handleRefusedStart(e *executor, t *task, c StartCommand, attempts int, result fulmarjob.CommandResult) {
 	switch result {
 	case fulmarjob.ResultUnknown:
 		s.scheduleProbe(e)
 		return
 	case fulmarjob.ResultFenced:
-		if token < e.fence.token {
+		if c.Start.Token < e.fence.token {
 			s.sendStart(t)
 			return
 		}
@@ -90,7 +90,7 @@
 		s.scheduleProbe(e)
 		return
 	case fulmarjob.ResultNoTicket:
-		s.invalidateAdvice(t)
+		s.rejectTicket(t, c.Start.Ticket)
 	case fulmarjob.ResultNoCapacity:
 		e.avoidUntil = max(e.avoidUntil, s.now+noCapacityBackoff)
 	case fulmarjob.ResultUnhealthy, fulmarjob.ResultOtherIncarnation, fulmarjob.ResultInvalid:
