fulmarsched: lasting suspects of a crash are tried together

Cause: one crash makes suspects of all young tasks that it ended, and each suspect of another job took an executor of its own for the 5 s in which it is watched. Those that last hold it all the time, so they waited for each other in rounds of 6 s.

Evidence: in the owner's log of all 14 are freed at one time, six are placed at once, none of their executors had to be reserved, and the rounds are trustedRuntime and a report apart. With a greater isolationFraction there would still be two rounds.

An executor is now isolated for a trial in place of a job.

--- a/internal/fulmarsched/admission.go
+++ b/internal/fulmarsched/admission.go
@@ -68,7 +68,7 @@
 func (s *Scheduler) schedulableCPU(service string) float64 {
 	sum := int64(0)
 	for _, e := range s.services().executors[service] {
-		if e.isSchedulable(s.now) && e.isolatedFor == nil {
+		if e.isSchedulable(s.now) && !e.isIsolated() {
 			sum += e.info.Capacity.MilliCPU
 		}
 	}
--- a/internal/fulmarsched/crash.go
+++ b/internal/fulmarsched/crash.go
@@ -129,6 +129,7 @@
 	t.doubtfulCrash = t.uncertain
 	if r.isSuspicious(isWidespread) {
 		t.setSuspicions(t.suspicions + 1)
+		t.suspectedAt = s.now
 	}
 	isConfirmed := r.confirmed && !t.uncertain
 	if wasRepeatSuspect && isConfirmed {
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -77,10 +77,12 @@
 	retired bool
 	// cordoned executors get no new tasks because their VM is about to be maintained or moved.
 	cordoned bool
-	// isolatedFor is the job that has the executor to itself while it is suspected of a crash,
-	// reservedFor one that waits until the executor has no other unproven tasks; nil for none.
-	isolatedFor *job
-	reservedFor *job
+	// isolatedFor is the trial whose suspects have the executor to themselves, reservedFor one whose
+	// suspects wait until the executor has no other unproven tasks.
+	isolatedFor trial
+	reservedFor trial
+	// trialRoom is how many more suspects that last the executor may take, if it is isolated for them.
+	trialRoom int
 	// idleSince is when a task was last removed from the executor, or when the executor was added.
 	idleSince fulmarclock.Millis
 	// supersededAt is when an executor that started later on the same VM has reported; zero if none
--- a/internal/fulmarsched/isolation.go
+++ b/internal/fulmarsched/isolation.go
@@ -6,31 +6,67 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
 
-// Tasks that are suspected of a crash run in isolation: on an executor on which no run of another job
-// could be the cause of a further crash. So a further crash tells more about them, and ends few other
-// runs. Those that are suspected of several crashes are restricted further (repeatsuspect.go).
+// Tasks that are suspected of a crash run in isolation: on an executor on which no run beside those of
+// their trial could be the cause of a further crash (trial.go). So a further crash tells more about them,
+// and ends few other runs. Those that are suspected of several crashes are restricted further
+// (repeatsuspect.go).
 
 // isolationScore is the score of a suspect's placement beside its own job, or with nothing else.
 const isolationScore = 8.0
 
+// trialScore is the score of each of the first maxScoredTasks suspects that last and are tried on the same
+// executor, so that they are spread evenly. Together they weigh less than isolationScore.
+const (
+	trialScore     = -0.25
+	maxScoredTasks = 30
+)
+
 // isolationFraction limits how many of a service's executors are isolated at a time.
 const isolationFraction = 0.5
 
-// updateIsolation determines for each executor the job that it is isolated for.
+// updateIsolation determines for each executor the trial that it is isolated for.
 func (s *Scheduler) updateIsolation() {
 	if !s.isolating && !s.hasSuspects() {
 		return
 	}
 	s.isolating = false
+	s.updateLastingTrials()
 	for _, e := range s.executorList {
-		e.isolatedFor = e.suspectJob()
-		if e.isolatedFor == nil {
-			e.isolatedFor = e.reservation(s.now)
+		e.isolatedFor = e.suspects()
+		if e.isolatedFor == (trial{}) {
+			e.isolatedFor = s.reservation(e)
 		}
-		s.isolating = s.isolating || e.isolatedFor != nil
+		s.noteIsolation(e)
+	}
+	s.limitLastingTrials()
+}
+
+// noteIsolation counts an executor that is isolated.
+func (s *Scheduler) noteIsolation(e *executor) {
+	s.isolating = s.isolating || e.isIsolated()
+	if e.isolatedFor.isLasting {
+		s.lastingTrialOf(e.info.Service).executors++
 	}
 }
 
+// limitLastingTrials determines how many more suspects that last each executor may take. One that is not
+// isolated for them may take some only if the suspects need it.
+func (s *Scheduler) limitLastingTrials() {
+	for _, e := range s.executorList {
+		l := s.lastingTrials[e.info.Service]
+		if l == nil {
+			continue
+		}
+		e.trialRoom = 0
+		if e.isolatedFor.isLasting || l.needsExecutor() {
+			e.trialRoom = l.maxPerExecutor() - e.countOnTrial()
+		}
+	}
+}
+
+// isIsolated reports whether the executor is isolated for a trial.
+func (e *executor) isIsolated() bool { return e.isolatedFor != trial{} }
+
 // hasSuspects reports whether a task of an active job is suspected of a crash.
 func (s *Scheduler) hasSuspects() bool {
 	for _, j := range s.activeJobs {
@@ -41,35 +77,43 @@
 	return false
 }
 
-// suspectJob returns the job of a suspect that is placed on the executor, nil if there is none. A
+// suspects returns the trial of a suspect that is placed on the executor, none if there is none. A
 // start that was stopped before it was confirmed does not count: it is not expected to run.
-func (e *executor) suspectJob() *job {
-	var found *job
+func (e *executor) suspects() trial {
+	found := trial{}
 	for _, t := range e.tasks {
-		if t.isSuspect() && !t.isStoppedStart() && (found == nil || t.job.id < found.id) {
-			found = t.job
+		if t.isSuspect() && !t.isStoppedStart() && (found == trial{} || t.trial().isBefore(found)) {
+			found = t.trial()
 		}
 	}
 	return found
 }
 
-// reservation returns the job that the executor is reserved for, as long as a suspect of it waits for
+// reservation returns the trial that an executor is reserved for, as long as a suspect of it waits for
 // an executor.
-func (e *executor) reservation(now fulmarclock.Millis) *job {
-	if e.reservedFor != nil && !e.reservedFor.hasWaitingSuspect(now) {
-		e.reservedFor = nil
+func (s *Scheduler) reservation(e *executor) trial {
+	if e.reservedFor != (trial{}) && !s.hasWaitingSuspect(e.reservedFor, e.info.Service) {
+		e.reservedFor = trial{}
 	}
 	return e.reservedFor
 }
 
-// hasWaitingSuspect reports whether a suspect among the job's tasks is neither placed nor delayed.
+// hasWaitingSuspect reports whether a suspect of a trial waits for an executor of a service.
+func (s *Scheduler) hasWaitingSuspect(r trial, service string) bool {
+	if r.isLasting {
+		return s.lastingTrialOf(service).waiting > 0
+	}
+	return r.job.hasWaitingSuspect(s.now)
+}
+
+// hasWaitingSuspect reports whether a suspect of the job's own trial is neither placed nor delayed.
 func (j *job) hasWaitingSuspect(now fulmarclock.Millis) bool {
 	if j.state.IsFinal() || j.suspects == 0 {
 		return false
 	}
 	found := false
 	j.eachTask(func(t *task) {
-		found = found || t.isSuspect() && t.state == taskWaiting && now >= t.retryAt
+		found = found || t.isSuspect() && !t.isOnLastingTrial() && t.state == taskWaiting && now >= t.retryAt
 	})
 	return found
 }
@@ -77,31 +121,23 @@
 // permits reports whether isolation permits a task on the executor.
 func (e *executor) permits(t *task) bool {
 	switch {
-	case e.isolatedFor != nil && e.isolatedFor != t.job:
+	case e.isIsolated() && !e.isolatedFor.includes(t):
 		return false
 	case t.isRepeatSuspect():
 		return !e.hasTransientTaskBeside(t)
-	case e.isolatedFor != nil && e.hasRepeatSuspectBeside(t):
+	case e.isIsolated() && e.hasRepeatSuspectBeside(t):
+		return false
+	case t.isOnLastingTrial() && e.trialRoom <= 0:
 		return false
 	}
-	return !t.isSuspect() || !e.hasUnproven(t.job)
-}
-
-// hasUnproven reports whether the executor has a task of another job that could cause a crash.
-func (e *executor) hasUnproven(j *job) bool {
-	for _, t := range e.tasks {
-		if t.job != j && t.isUnproven() {
-			return true
-		}
-	}
-	return false
+	return !t.isSuspect() || e.unprovenTasks(t.trial()) == 0
 }
 
-// unprovenTasks returns the number of tasks of other jobs that could cause a crash.
-func (e *executor) unprovenTasks(j *job) int {
+// unprovenTasks returns the number of tasks beside a trial that could cause a crash.
+func (e *executor) unprovenTasks(r trial) int {
 	count := 0
 	for _, t := range e.tasks {
-		if t.job != j && t.isUnproven() {
+		if !r.includes(t) && t.isUnproven() {
 			count++
 		}
 	}
@@ -113,9 +149,17 @@
 
 // isolate marks the executor as isolated for a suspect that is placed on it.
 func (s *Scheduler) isolate(e *executor, t *task) {
-	if t.isSuspect() {
-		e.isolatedFor, e.reservedFor, s.isolating = t.job, nil, true
+	if !t.isSuspect() {
+		return
+	}
+	wasIsolated := e.isIsolated()
+	e.isolatedFor, e.reservedFor = t.trial(), trial{}
+	if wasIsolated {
+		e.trialRoom--
+		return
 	}
+	s.noteIsolation(e)
+	s.limitLastingTrials()
 }
 
 // reserve reserves the executor for a suspect that waits that will be free of other unproven tasks
@@ -125,7 +169,7 @@
 	isolated := 0
 	var best *executor
 	for _, e := range candidates {
-		if e.isolatedFor != nil {
+		if e.isIsolated() {
 			isolated++
 			continue
 		}
@@ -136,8 +180,10 @@
 	if best == nil || isolated >= max(1, int(float64(len(candidates))*isolationFraction)) {
 		return false
 	}
-	best.isolatedFor, best.reservedFor, s.isolating = t.job, t.job, true
-	s.log.Log("executor reserved for a task that is suspected of a crash", "executor", best.info.ID, "job", t.id.Job, "step", t.id.Step, "index", t.id.Index, "unproven", best.unprovenTasks(t.job))
+	best.isolatedFor, best.reservedFor = t.trial(), t.trial()
+	s.noteIsolation(best)
+	s.limitLastingTrials()
+	s.log.Log("executor reserved for a task that is suspected of a crash", "executor", best.info.ID, "job", t.id.Job, "step", t.id.Step, "index", t.id.Index, "unproven", best.unprovenTasks(t.trial()))
 	return true
 }
 
@@ -148,7 +194,7 @@
 	if t.isRepeatSuspect() && lasting != otherLasting {
 		return lasting < otherLasting
 	}
-	return e.unprovenTasks(t.job) < other.unprovenTasks(t.job)
+	return e.unprovenTasks(t.trial()) < other.unprovenTasks(t.trial())
 }
 
 // roomOnceFree returns how many tasks like t the executor can hold once those that end have ended.
@@ -175,11 +221,11 @@
 	return room
 }
 
-// suspectScore prefers the executor that is isolated for the suspect's job, then one without
+// suspectScore prefers an executor that is isolated for the suspect's trial, then one without
 // tasks of other jobs.
 func suspectScore(e *executor, t *task) float64 {
-	if e.isolatedFor == t.job {
-		return 2 * isolationScore
+	if e.isolatedFor == t.trial() {
+		return 2*isolationScore + trialScore*float64(min(e.countOnTrial(), maxScoredTasks))
 	}
 	for _, other := range e.tasks {
 		if other.job != t.job || t.isRepeatSuspect() {
@@ -190,13 +236,35 @@
 }
 
 // reserveForWaiting reserves executors if suspects among the tasks of a step wait, other than repeat
-// suspects: one at a time, or as many as a gang needs, since its members start together.
+// suspects and those that last: one at a time, or as many as a gang needs, since its members start
+// together.
 func (s *Scheduler) reserveForWaiting(tasks []*task, candidates []*executor) {
-	waiting := slices.DeleteFunc(slices.Clone(tasks), func(t *task) bool {
-		return !t.isSuspect() || t.isRepeatSuspect() || t.state != taskWaiting
+	if tasks[0].job.suspects == 0 {
+		return
+	}
+	i := slices.IndexFunc(tasks, func(t *task) bool {
+		return t.state == taskWaiting && t.isSuspect() && !t.isRepeatSuspect() && !t.isOnLastingTrial()
 	})
-	if len(waiting) > 0 {
-		s.reserveFor(waiting[0], tasks, candidates)
+	if i >= 0 {
+		s.reserveFor(tasks[i], tasks, candidates)
+	}
+}
+
+// reserveForLastingTrial reserves executors for the suspects that last if some of a step wait: before one
+// is placed, so that they are spread.
+func (s *Scheduler) reserveForLastingTrial(tasks []*task, candidates []*executor) {
+	if tasks[0].job.suspects == 0 {
+		return
+	}
+	i := slices.IndexFunc(tasks, func(t *task) bool { return t.state == taskWaiting && t.isOnLastingTrial() })
+	if i < 0 {
+		return
+	}
+	l := s.lastingTrialOf(tasks[i].job.queue.Service)
+	for l.executors < l.wantedExecutors() && s.reserve(tasks[i], tasks, candidates) {
+	}
+	if reservedRoom(tasks[i], tasks, candidates) == 0 {
+		s.reserve(tasks[i], tasks, candidates)
 	}
 }
 
@@ -210,11 +278,11 @@
 	}
 }
 
-// reservedRoom returns how many tasks like t the executors that are isolated for its job can hold.
+// reservedRoom returns how many tasks like t the executors that are isolated for its trial can hold.
 func reservedRoom(t *task, members []*task, candidates []*executor) int {
 	room := 0
 	for _, e := range candidates {
-		if e.isolatedFor == t.job {
+		if e.isolatedFor == t.trial() {
 			room += e.roomOnceFree(t, members)
 		}
 	}
--- a/internal/fulmarsched/isolation_test.go
+++ b/internal/fulmarsched/isolation_test.go
@@ -121,7 +121,7 @@
 	sim.submit(jobID(2), step(1))
 	sim.suspectTasks(jobID(2), repeatSuspicions)
 	e := sim.scheduler.executors["x-0"]
-	sim.waitFor(sim.now+1000, "the executor is reserved", func() bool { return e.reservedFor != nil })
+	sim.waitFor(sim.now+1000, "the executor is reserved", func() bool { return e.reservedFor != trial{} })
 	sim.scheduler.findTask(fulmarjob.TaskID{Job: jobID(2)}).retryAt = sim.now + minRetryDelay
 	sim.submit(jobID(3), step(1))
 	sim.waitFor(sim.now+1000, "another job uses the executor", func() bool { return sim.runsOf(jobID(3)) == 1 })
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -37,6 +37,8 @@
 	// it may have crashed since it last ran for long enough. suspicions is changed only by setSuspicions.
 	crashes    int
 	suspicions int
+	// suspectedAt is when the last suspicion arose under this owner.
+	suspectedAt fulmarclock.Millis
 	// earlyCrashes is the number of executors in a row that crashed right after they had started the
 	// task as a repeat suspect; retryAt is the time before which it is not started again.
 	earlyCrashes int
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -151,6 +151,7 @@
 // placeStep places the waiting tasks of a step, without repeat suspects and gangs that have one.
 func (s *Scheduler) placeStep(o *occurrence, step int, candidates []*executor) {
 	tasks := o.steps[step]
+	s.reserveForLastingTrial(tasks, candidates)
 	switch {
 	case !tasks[0].step.Gang:
 		s.placeTasks(o, step, candidates)
--- a/internal/fulmarsched/poolsize.go
+++ b/internal/fulmarsched/poolsize.go
@@ -84,7 +84,7 @@
 		if s.isMoving(e.info.VM) || !e.isSchedulable(s.now) {
 			continue
 		}
-		if e.isolatedFor != nil {
+		if e.isIsolated() {
 			continue
 		}
 		p.have++
--- a/internal/fulmarsched/repeatsuspect.go
+++ b/internal/fulmarsched/repeatsuspect.go
@@ -81,18 +81,18 @@
 		s.placeTask(t, e, t.run+1)
 	}
 	if t.state == taskPlaced {
-		cancelReservations(t.job, allowed)
+		cancelReservations(t.trial(), allowed)
 		return true
 	}
 	s.reserveFor(t, members, allowed)
-	return slices.ContainsFunc(allowed, func(e *executor) bool { return e.reservedFor == t.job })
+	return slices.ContainsFunc(allowed, func(e *executor) bool { return e.reservedFor == t.trial() })
 }
 
-// cancelReservations ends the reservations for a job. Its other suspects that wait get new ones in turn.
-func cancelReservations(j *job, executors []*executor) {
+// cancelReservations ends the reservations for a trial. Its other suspects that wait get new ones in turn.
+func cancelReservations(r trial, executors []*executor) {
 	for _, e := range executors {
-		if e.reservedFor == j {
-			e.reservedFor, e.isolatedFor = nil, e.suspectJob()
+		if e.reservedFor == r {
+			e.reservedFor, e.isolatedFor = trial{}, e.suspects()
 		}
 	}
 }
@@ -151,7 +151,7 @@
 			continue
 		}
 		executors++
-		if e.isolatedFor != nil {
+		if e.isIsolated() {
 			u.addExecutor(e, s.now)
 		}
 	}
@@ -166,11 +166,11 @@
 			u.add(t)
 		}
 	}
-	if e.reservedFor == nil {
+	if e.reservedFor.job == nil {
 		return
 	}
-	if suspects := e.reservedFor.waitingRepeatSuspects(now); len(suspects) > 0 {
-		u.reservedFor[e.reservedFor] = true
+	if suspects := e.reservedFor.job.waitingRepeatSuspects(now); len(suspects) > 0 {
+		u.reservedFor[e.reservedFor.job] = true
 		u.add(suspects[0])
 	}
 }
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -102,6 +102,8 @@
 	crashedVMs map[string]fulmarclock.Millis
 	// isolating means that an executor is isolated or reserved.
 	isolating bool
+	// lastingTrials are the trials of suspects that last, by service.
+	lastingTrials map[string]*lastingTrial
 	// inheritedVMs are the VMs for which a previous owner may have sent a maintenance or move
 	// command.
 	inheritedVMs map[string]bool
@@ -145,6 +147,7 @@
 		moves:          map[string]*vmMove{},
 		lapses:         map[string]*crash{},
 		crashedVMs:     map[string]fulmarclock.Millis{},
+		lastingTrials:  map[string]*lastingTrial{},
 		inheritedVMs:   map[string]bool{},
 		rejectedMoves:  map[string]bool{},
 		demands:        map[string]*demand{},
