fulmarsched: a VM that has just crashed is the last choice for lasting tasks

Cause: an executor that has just returned is empty, and so the first choice for the lasting tasks that its last crash has ended. Each further crash of it makes them more suspect, until their starts are delayed.

Tasks with two suspicions are left out: they are the more likely cause, and an empty executor is best for them.

--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -81,6 +81,8 @@
 	// suspects wait until the executor has no other unproven tasks.
 	isolatedFor trial
 	reservedFor trial
+	// isUnstable means that the executor's VM has crashed recently, as of the last placement.
+	isUnstable bool
 	// trialRoom is how many more suspects that last the executor may take, if it is isolated for them.
 	trialRoom int
 	// idleSince is when a task was last removed from the executor, or when the executor was added.
--- a/internal/fulmarsched/isolation.go
+++ b/internal/fulmarsched/isolation.go
@@ -190,6 +190,9 @@
 // suitsBetter reports whether the executor suits a suspect better than another one: a repeat
 // suspect where a crash ends fewer long-running tasks, any where fewer unproven tasks are in the way.
 func (e *executor) suitsBetter(t *task, other *executor) bool {
+	if t.isOnLastingTrial() && e.isUnstable != other.isUnstable {
+		return other.isUnstable
+	}
 	lasting, otherLasting := countLongRunning(e), countLongRunning(other)
 	if t.isRepeatSuspect() && lasting != otherLasting {
 		return lasting < otherLasting
--- a/internal/fulmarsched/lastingcrash_test.go
+++ b/internal/fulmarsched/lastingcrash_test.go
@@ -115,6 +115,35 @@
 	}
 }
 
+// Executors that go down and up by turns make suspects of the same tasks again and again.
+func TestLastingTasksOfFlappingExecutorsRunAgainInTime(t *testing.T) {
+	for _, executors := range []int{7, 12} {
+		for _, downtime := range []fulmarclock.Millis{500, 1500} {
+			for _, uptime := range []fulmarclock.Millis{1200, 2500, 4000} {
+				t.Run(fmt.Sprintf("%d executors, two of them down for %d ms and up for %d ms", executors, downtime, uptime), func(t *testing.T) {
+					sim := newSimulation(t, executors)
+					sim.refusesConnections = true
+					sim.runUntil(1200)
+					sim.submitLasting(12*executors, 1, 45000)
+					sim.waitFor(sim.now+3000, "the lasting tasks run", func() bool { return len(sim.runsOfLasting()) == 12*executors })
+					sim.runUntil(sim.now + 500)
+					calm := sim.now + 10000
+					for i, e := range sim.executors[:2] {
+						for at := sim.now + fulmarclock.Millis(700*i); at < calm-downtime; at += downtime + uptime {
+							sim.at(at, e.crash)
+							sim.at(at+downtime, e.restart)
+						}
+					}
+					for until := calm + 25000; sim.now < until; {
+						sim.advance()
+						sim.checkLastingRun(calm)
+					}
+				})
+			}
+		}
+	}
+}
+
 // harmOf counts the executors that a lasting task crashes in a time, and the other runs that this ends.
 func (s *simulation) harmOf(deadly fulmarjob.TaskID, until fulmarclock.Millis) (crashes, lasting, short int) {
 	s.runUntil(until)
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -122,6 +122,7 @@
 		if !e.isSchedulable(s.now) {
 			continue
 		}
+		e.isUnstable = s.hasCrashedRecently(e.info.VM)
 		c := byService[e.info.Service]
 		if c == nil {
 			c = &candidates{}
@@ -288,6 +289,7 @@
 const (
 	dataRackScore      = 4.0
 	otherExecutorScore = 2.0
+	unstableScore      = -3.0
 )
 
 // score prefers executors on the rack with the task's data, then executors other than the one
@@ -302,6 +304,9 @@
 		sum += otherExecutorScore
 	}
 	freeCPU := freeCPUFraction(e)
+	if t.step.LongRunning && e.isUnstable && !t.isRepeatSuspect() {
+		sum += unstableScore
+	}
 	if t.step.LongRunning {
 		return sum + freeCPU
 	}
