fulmarsched: no long polls while a run that is not there is being stopped

The executor has nothing to report of a run that is not there, so two long polls of 1.25 s had to end first.

Evidence: in the owner's log of the case the 14 tasks are stopped at one time and released 2.504 s later, with no end at that executor in between.

Change: a renewal doesn't wait while a run is being stopped that the executor has not listed.

Test: TestRunThatNewIncarnationDoesNotListIsReleasedSoon, which failed before.

--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -41,13 +41,24 @@
 		e.extendLeaseBound(s.now, c.Deadline, s.params.MaxLease)
 	}
 	hasAllEnds := e.finishedSeen == max(e.acknowledgementConfirmed, c.Acknowledged)
-	if e.fence.accepted && e.failedRenewals == 0 && hasAllEnds && len(e.tasks) > 0 && !e.watchesRepeatSuspect() {
+	if e.fence.accepted && e.failedRenewals == 0 && hasAllEnds && len(e.tasks) > 0 && !e.watchesRepeatSuspect() && !e.hasUnlistedStop() {
 		c.Wait = s.pollWait(e)
 	}
 	e.fence.noteSent(c)
 	s.commands = append(s.commands, c)
 }
 
+// hasUnlistedStop reports whether a run is being stopped that the executor has not listed. No end will be
+// reported for one that is not there, only a report without it.
+func (e *executor) hasUnlistedStop() bool {
+	for _, t := range e.tasks {
+		if t.stopping && t.runningSince == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // dueAcknowledgement returns the sequence number up to which a renewal acknowledges finished runs,
 // zero for none. A later incarnation under the executor's ID numbers its finished runs anew, and the
 // number would delete those that nobody has read. So it is not sent while a start is on its way that
--- a/internal/fulmarsched/restart_test.go
+++ b/internal/fulmarsched/restart_test.go
@@ -253,3 +253,25 @@
 		sim.waitFor(sim.now+row.limit, "both tasks are available", func() bool { return sim.availableTasks(jobID(1)) == 2 })
 	}
 }
+
+// A start that no report has shown must not hold its task up for the long polls of a later incarnation.
+func TestRunThatNewIncarnationDoesNotListIsReleasedSoon(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.longPolls = true
+	sim.runBehavior = runsForever
+	sim.runUntil(1200)
+	sim.submit(jobID(1), longRunningStep(2, 2))
+	sim.waitFor(sim.now+3000, "the first tasks run", func() bool { return len(sim.runs) == 2 })
+	sim.runUntil(sim.now + 3000)
+	sim.submit(jobID(2), longRunningStep(2, 2))
+	sim.waitFor(sim.now+3000, "all tasks run", func() bool { return len(sim.runs) == 4 })
+	sim.runUntil(sim.now + 200)
+	e := sim.executors[0]
+	e.crash()
+	sim.runUntil(sim.now + 1000)
+	quicktest.Assert(t, countNotReported(sim.scheduler.executors[e.info.ID]), quicktest.Equals, 1)
+	e.restart()
+	lost := sim.scheduler.findTask(fulmarjob.TaskID{Job: jobID(2)})
+	quicktest.Assert(t, lost.executor.info.ID, quicktest.Equals, e.info.ID)
+	sim.waitFor(sim.now+500, "the lost task is released", func() bool { return lost.state == taskWaiting })
+}
