fulmarsched: a start without an answer is settled after 13 s

Cause: the doubt whether a late attempt of the start may run on a later incarnation, with the longest lease, never ended, however long the run had been reported.

Evidence: the case with and without the lost answer, and the same two plays of the scheduler: only the one with the lost result fails.

Change: a start is settled once its only attempt was answered, or 13 s after it was sent, when no attempt can be executed any more. The lease's end and the handling of a restart follow from that.

Test: TestLeaseOfRunIsKnownOnceItsStartCantBeLateAnyMore, which failed before.

--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -14,6 +14,9 @@
 	startValidity = 2500 * fulmarclock.Millis(1)
 	// minRestartDuration is the shortest time in which an executor restarts.
 	minRestartDuration = 100 * fulmarclock.Millis(1)
+	// lateExecutionBound is how long after it was sent a command, any hedged attempt of it included, may
+	// be executed without a response.
+	lateExecutionBound = 13 * fulmarclock.Second
 	// resendDelay is the delay before a start or stop without a result is sent again.
 	resendDelay = 400 * fulmarclock.Millis(1)
 	// expiryMargin is added to leasesEndBy before the leases count as expired.
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -157,18 +157,18 @@
 
 // leaseEnd returns a time by which the lease of a task's run has expired. A run that no report has
 // shown, or a late attempt to start it, may be at a later incarnation.
-func (e *executor) leaseEnd(t *task) fulmarclock.Millis {
-	if t.runningSince > 0 && (t.startAnswered || t.inherited) {
+func (e *executor) leaseEnd(t *task, now fulmarclock.Millis) fulmarclock.Millis {
+	if t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
 		return e.leasesEndBy
 	}
 	return max(e.leasesEndBy, e.laterLeasesEndBy)
 }
 
 // lastLeaseEnd returns a time by which the leases of all runs have expired.
-func (e *executor) lastLeaseEnd() fulmarclock.Millis {
+func (e *executor) lastLeaseEnd(now fulmarclock.Millis) fulmarclock.Millis {
 	last := e.leasesEndBy
 	for _, t := range e.tasks {
-		last = max(last, e.leaseEnd(t))
+		last = max(last, e.leaseEnd(t, now))
 	}
 	return last
 }
--- a/internal/fulmarsched/incarnation.go
+++ b/internal/fulmarsched/incarnation.go
@@ -1,6 +1,9 @@
 package fulmarsched
 
-import "github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+import (
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
 
 // retireOlderIncarnations retires the executors on the VM of e that have started before e, which has
 // sent a report. That does not prove on which VM it is: an older one that may still respond is asked
@@ -84,7 +87,7 @@
 
 // replaceRun handles the run of a task whose executor has a new incarnation.
 func (s *Scheduler) replaceRun(t *task) {
-	if !t.mayReachNewIncarnation() {
+	if !t.mayReachNewIncarnation(s.now) {
 		s.endPlacement(t, "its executor has a new incarnation")
 		return
 	}
@@ -99,11 +102,16 @@
 
 // mayReachNewIncarnation reports whether a start of the task's run may have been executed by an
 // incarnation of its executor that followed the one it was meant for, or still may be.
-func (t *task) mayReachNewIncarnation() bool {
+func (t *task) mayReachNewIncarnation(now fulmarclock.Millis) bool {
 	if t.inherited {
 		return true
 	}
-	return t.startsSent > 0 && (t.runningSince == 0 || !t.startAnswered)
+	return t.startsSent > 0 && (t.runningSince == 0 || !t.isStartSettled(now))
+}
+
+// isStartSettled reports whether no start of the task's run by this owner can be executed any more.
+func (t *task) isStartSettled(now fulmarclock.Millis) bool {
+	return t.startAnswered || now > t.startSentAt+lateExecutionBound
 }
 
 // countNotReported returns the number of tasks whose start was sent and that no report of the
--- a/internal/fulmarsched/placement.go
+++ b/internal/fulmarsched/placement.go
@@ -63,7 +63,7 @@
 	if s.now <= e.leasesEndBy+expiryMargin {
 		return
 	}
-	expired := slices.DeleteFunc(sortedTasks(e), func(t *task) bool { return s.now <= e.leaseEnd(t)+expiryMargin })
+	expired := slices.DeleteFunc(sortedTasks(e), func(t *task) bool { return s.now <= e.leaseEnd(t, s.now)+expiryMargin })
 	s.recordLapse(e, expired)
 	e.strayRuns = nil
 	for _, t := range expired {
--- a/internal/fulmarsched/restart_test.go
+++ b/internal/fulmarsched/restart_test.go
@@ -275,3 +275,25 @@
 	quicktest.Assert(t, lost.executor.info.ID, quicktest.Equals, e.info.ID)
 	sim.waitFor(sim.now+500, "the lost task is released", func() bool { return lost.state == taskWaiting })
 }
+
+// A start whose result was lost must not make its task wait for the longest lease ever after.
+func TestLeaseOfRunIsKnownOnceItsStartCantBeLateAnyMore(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		loses bool
+	}{{"result", false}, {"lost result", true}} {
+		t.Run(row.name, func(t *testing.T) {
+			sim := newSimulation(t, 3)
+			sim.runBehavior = runsForever
+			sim.runUntil(1200)
+			if row.loses {
+				sim.loseNextResult(isStart)
+			}
+			sim.submit(jobID(1), longRunningStep(1, 1))
+			sim.waitFor(sim.now+3000, "the task runs", func() bool { return sim.availableTasks(jobID(1)) == 1 })
+			sim.runUntil(sim.now + 15000)
+			sim.executorRunning(sim.runs[0].task).crash()
+			sim.waitFor(sim.now+restartBound, "the task runs elsewhere", func() bool { return len(sim.runs) == 2 })
+		})
+	}
+}
--- a/internal/fulmarsched/unresponsive.go
+++ b/internal/fulmarsched/unresponsive.go
@@ -36,7 +36,7 @@
 	if !isUnresponsive || len(e.tasks) == 0 {
 		return
 	}
-	remaining := max(e.lastLeaseEnd()-s.now, 0)
+	remaining := max(e.lastLeaseEnd(s.now)-s.now, 0)
 	if e.unresponsive.recorded && remaining > e.unresponsive.remaining-unresponsiveRecordStep {
 		return
 	}
