--- a/internal/fulmarstandin/fulmarrig/fleet.go
+++ b/internal/fulmarstandin/fulmarrig/fleet.go
@@ -119,7 +119,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"service": v.pool.Service, "address": e.address, "zone": "dc-1", "version": "1", "slots": 8, "state": "ready",
-		"born": e.incarnation, "machine": v.name, "labels": []string{"plain", v.rack},
+		"cold_remaining_ms": 0, "sequence": e.incarnation, "born": e.incarnation, "machine": v.name, "labels": []string{"plain", v.rack},
 		"capacity": map[string]int64{"cpu": e.capacity(), "task_memory_mb": v.pool.MemoryMB},
 	})
 	if err != nil {
