fulmarsched: the limit of a trial without suspects is defined; a refused command is named overtaken

The limit on suspects an executor takes divided zero by zero for a service whose trial has ended, and what that gives as a whole number differs between x86-64 and arm64; nothing used it then. It has a value now, in whole numbers. "Refused for a lower token of our own" stood twice and is fence.isOvertaken. The methods of trial stand together. No other change; tests as before.

--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -52,6 +52,10 @@
 	}
 }
 
+// isOvertaken reports whether a command with a token was overtaken by a start with a higher one, if the
+// executor refused it.
+func (f *fence) isOvertaken(token int64) bool { return token < f.token }
+
 // noteSent records a renewal that is sent now. An acknowledgement that is still without a response may
 // be executed after it.
 func (f *fence) noteSent(c RenewCommand) {
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -111,7 +111,7 @@
 }
 
 // HandleRenewalFailure handles a lease renewal that got no response, or that the executor did not
-// execute. A start that the executor has executed before may have had a higher token.
+// execute. One that a start of this owner has overtaken is sent again.
 func (s *Scheduler) HandleRenewalFailure(now fulmarclock.Millis, c RenewCommand, result fulmarjob.CommandResult) {
 	s.now = now
 	e := s.executors[c.Target.ID]
@@ -119,7 +119,7 @@
 		return
 	}
 	e.renewalInFlight = false
-	if result == fulmarjob.ResultFenced && c.Token < e.fence.token {
+	if result == fulmarjob.ResultFenced && e.fence.isOvertaken(c.Token) {
 		s.scheduleRenewal(e, 0)
 		return
 	}
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -66,15 +66,15 @@
 
 // handleRefusedStart ends the placement of a task whose start was refused. If the start was sent
 // more than once, another command or attempt may have been executed, or may be later. Then, and after
-// an unknown result or a later owner's fencing token, the next report decides. A start that a later one
-// of this owner has overtaken, with a higher token, is sent again.
+// an unknown result or a later owner's fencing token, the next report decides. One that another start of
+// this owner has overtaken is sent again.
 func (s *Scheduler) handleRefusedStart(e *executor, t *task, c StartCommand, attempts int, result fulmarjob.CommandResult) {
 	switch result {
 	case fulmarjob.ResultUnknown:
 		s.scheduleProbe(e)
 		return
 	case fulmarjob.ResultFenced:
-		if c.Start.Token < e.fence.token {
+		if e.fence.isOvertaken(c.Start.Token) {
 			s.sendStart(t)
 			return
 		}
--- a/internal/fulmarsched/trial.go
+++ b/internal/fulmarsched/trial.go
@@ -22,19 +22,6 @@
 	isLasting bool
 }
 
-// trial returns the trial that the task belongs to while it is a suspect.
-func (t *task) trial() trial {
-	if t.isOnLastingTrial() {
-		return trial{isLasting: true}
-	}
-	return trial{job: t.job}
-}
-
-// isOnLastingTrial reports whether the task runs, or has to run, in isolation with other suspects that last.
-func (t *task) isOnLastingTrial() bool {
-	return t.step.LongRunning && !t.step.Gang && t.isSuspect() && !t.isRepeatSuspect()
-}
-
 // isBefore reports whether a trial comes before another one in a fixed order.
 func (r trial) isBefore(other trial) bool {
 	if r.isLasting || other.isLasting {
@@ -51,6 +38,19 @@
 	return t.job == r.job
 }
 
+// trial returns the trial that the task belongs to while it is a suspect.
+func (t *task) trial() trial {
+	if t.isOnLastingTrial() {
+		return trial{isLasting: true}
+	}
+	return trial{job: t.job}
+}
+
+// isOnLastingTrial reports whether the task runs, or has to run, in isolation with other suspects that last.
+func (t *task) isOnLastingTrial() bool {
+	return t.step.LongRunning && !t.step.Gang && t.isSuspect() && !t.isRepeatSuspect()
+}
+
 // lastingTrial is the trial of a service's suspects that last.
 type lastingTrial struct {
 	// placed and waiting are the numbers of suspects.
@@ -69,10 +69,11 @@
 
 // maxPerExecutor returns how many suspects an executor may take.
 func (l *lastingTrial) maxPerExecutor() int {
-	if l.isLate {
+	wanted := l.wantedExecutors()
+	if l.isLate || wanted == 0 {
 		return math.MaxInt
 	}
-	return int(math.Ceil(float64(l.placed+l.waiting) / float64(l.wantedExecutors())))
+	return (l.placed + l.waiting + wanted - 1) / wanted
 }
 
 // needsExecutor reports whether the suspects would better be tried on more executors.
