--- /dev/null
+++ b/review/standin-3/platform.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// cpuPerVM is the capacity of each executor in thousandths of a core.
+	cpuPerVM = 16000
+	// standbyPool is the service whose VMs are off.
+	standbyPool = "spare"
+	// migration is how long a move takes.
+	migration = 1500 * time.Millisecond
+)
+
+// vm is a machine of the fleet.
+type vm struct {
+	name, rack string
+	pool       string
+	state      string
+	lives      int
+	executor   *executor
+}
+
+// order is a call to the VM API that moves a VM or begins its upkeep, in the order of arrival.
+type order struct {
+	at     int64
+	vm     string
+	kind   string
+	detail string
+	holder string
+	token  int64
+	status int
+	// ended is the number of runs that the order has ended.
+	ended int
+}
+
+// start is the start of a run, as its executor saw it.
+type start struct {
+	at       int64
+	executor string
+	task     string
+	number   int64
+}
+
+// platform is the store, the VM API and the executors. The VM API doesn't check fences.
+type platform struct {
+	record *record
+	store  *store
+
+	storeAddress, fleetAddress string
+
+	mu     sync.Mutex
+	vms    []*vm
+	orders []order
+
+	// startsMu may be locked while an executor is, which may be locked while mu is.
+	startsMu sync.Mutex
+	starts   []start
+}
+
+// newPlatform starts the platform with pools of VMs by service; racks hold four VMs.
+func newPlatform(r *record, pools map[string]int, order []string) (*platform, error) {
+	p := &platform{record: r, store: newStore()}
+	var err error
+	if p.storeAddress, _, err = serve(p.store.handler()); err != nil {
+		return nil, err
+	}
+	if p.fleetAddress, _, err = serve(p.fleetHandler()); err != nil {
+		return nil, err
+	}
+	for _, pool := range order {
+		for i := range pools[pool] {
+			v := &vm{name: fmt.Sprintf("m-%s-%d", pool, i), rack: fmt.Sprintf("r-%s-%d", pool, i/4), pool: pool, state: "up"}
+			p.vms = append(p.vms, v)
+			if err := p.boot(v); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return p, nil
+}
+
+// boot starts the next executor of a VM, unless the VM is on standby.
+func (p *platform) boot(v *vm) error {
+	v.state = "up"
+	if v.pool == standbyPool {
+		v.executor = nil
+		return nil
+	}
+	v.lives++
+	e, err := p.startExecutor(v, fmt.Sprintf("x-%s-%d", v.name[2:], v.lives))
+	if err != nil {
+		return err
+	}
+	v.executor = e
+	return nil
+}
+
+func (p *platform) started(e *executor, r *run) {
+	p.record.logf("start task %s run %d at %s", r.task, r.number, e.id)
+	p.startsMu.Lock()
+	defer p.startsMu.Unlock()
+	p.starts = append(p.starts, start{p.record.now(), e.id, r.task, r.number})
+}
+
+func (p *platform) ended(e *executor, r *run, how string) {
+	p.record.logf("end task %s run %d at %s: %s", r.task, r.number, e.id, how)
+}
+
+// startsOf returns a copy of the starts so far.
+func (p *platform) startsOf() []start {
+	p.startsMu.Lock()
+	defer p.startsMu.Unlock()
+	return append([]start{}, p.starts...)
+}
+
+// ordersSoFar returns a copy of the orders so far.
+func (p *platform) ordersSoFar() []order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]order{}, p.orders...)
+}
+
+// configure writes the operators' configuration.
+func (p *platform) configure(version int, queues []queue, services []string) {
+	routes, list := []map[string]any{}, []map[string]any{}
+	for _, q := range queues {
+		routes = append(routes, map[string]any{
+			"name": q.name, "host": host, "prefix": q.prefix, "service": q.service, "priority": 0, "max_attempts": 4,
+			"slack_factor": 4, "target_latency_ms": 600, "timeout_ms": 3000,
+		})
+	}
+	for _, s := range services {
+		list = append(list, map[string]any{"name": s, "admission_control": true, "standby": s == standbyPool})
+	}
+	value, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": list, "limits": map[string]any{}})
+	if err == nil {
+		p.store.put("op/config", value)
+	}
+}
+
+func (p *platform) fleetHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /fulmardrum/machines", p.serveMachines)
+	mux.HandleFunc("POST /fulmardrum/machine-move", func(w http.ResponseWriter, q *http.Request) { p.serveOrder(w, q, "move") })
+	mux.HandleFunc("POST /fulmardrum/machine-upkeep", func(w http.ResponseWriter, q *http.Request) { p.serveOrder(w, q, "upkeep") })
+	return mux
+}
+
+func (p *platform) serveMachines(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows := []map[string]any{}
+	for _, v := range p.vms {
+		row := map[string]any{
+			"machine": v.name, "pool": v.pool, "state": v.state, "zone": "zone-1", "labels": []string{"a", v.rack},
+			"capacity": map[string]int64{"cpu": cpuPerVM, "task_memory_mb": 32768, "gpus": 0}, "identifier": "",
+		}
+		if v.executor != nil {
+			row["identifier"] = v.executor.id
+		}
+		rows = append(rows, row)
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"machines": rows, "next_page_token": ""})
+}
+
+func (p *platform) serveOrder(w http.ResponseWriter, q *http.Request, kind string) {
+	var c struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+		Wave    int64  `json:"wave"`
+	}
+	if !readJSON(w, q, &c) {
+		return
+	}
+	token, _ := strconv.ParseInt(q.Header.Get("X-Fencing-Token"), 10, 64)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running := p.countRuns(c.Machine)
+	status, reason := p.execute(kind, c.Machine, c.Pool)
+	if status != http.StatusOK || reason != "" {
+		running = 0
+	}
+	detail := c.Pool
+	if kind == "upkeep" {
+		detail = "wave " + strconv.FormatInt(c.Wave, 10)
+	}
+	o := order{p.record.now(), c.Machine, kind, detail, q.Header.Get("X-Duty-Holder"), token, status, running}
+	p.orders = append(p.orders, o)
+	p.record.logf("order %s %s (%s) from %s with token %d: %d %s, ends %d runs", kind, o.vm, detail, o.holder, token, status, reason, running)
+	if status == http.StatusConflict {
+		writeJSON(w, status, map[string]string{"reason": reason})
+		return
+	}
+	writeJSON(w, status, struct{}{})
+}
+
+// execute carries out an order. The caller holds p.mu.
+func (p *platform) execute(kind, name, pool string) (int, string) {
+	v := p.find(name)
+	switch {
+	case v == nil:
+		return http.StatusBadRequest, ""
+	case kind == "upkeep":
+		// No wave is requested.
+		return http.StatusConflict, "wave"
+	case v.pool == pool:
+		return http.StatusOK, "already done"
+	case v.state != "up":
+		return http.StatusConflict, "busy"
+	}
+	old := v.executor
+	v.state, v.pool, v.executor = "moving", pool, nil
+	if old != nil {
+		go old.end("its VM is ordered to " + kind)
+	}
+	time.AfterFunc(migration, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if err := p.boot(v); err != nil {
+			p.record.logf("executor of %s can't start: %v", v.name, err)
+		}
+	})
+	return http.StatusOK, ""
+}
+
+// countRuns returns the number of runs on a VM. The caller holds p.mu.
+func (p *platform) countRuns(name string) int {
+	v := p.find(name)
+	if v == nil || v.executor == nil {
+		return 0
+	}
+	return v.executor.countRuns()
+}
+
+// find returns a VM by its name. The caller holds p.mu.
+func (p *platform) find(name string) *vm {
+	for _, v := range p.vms {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
+}
+
+// executors returns the executors of a service that are up.
+func (p *platform) executors(service string) []*executor {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var result []*executor
+	for _, v := range p.vms {
+		if v.executor != nil && v.executor.service == service {
+			result = append(result, v.executor)
+		}
+	}
+	return result
+}
