review: case 11, a lasting task is moved to an executor that is lost

A task that lasts is moved to an idle executor that was lost within the last three heartbeats, and waits 13.8 s for a lease that nobody holds: no report has shown the run, so `leaseEnd` assumes the greatest lease after the last start.

--- a/review/standin-3/drainresend.go
+++ b/review/standin-3/drainresend.go
@@ -22,7 +22,7 @@
 		return verdict{failure: err}
 	}
 	queues := []queue{{"queue-a", "/a/", "alpha"}}
-	members, c, err := fleetOf(o, r, p, queues, []string{"alpha", standbyPool}, func(*member, []byte) {})
+	members, c, err := fleetOf(o, r, p, queues, []string{"alpha", standbyPool})
 	defer stopAll(members)
 	if err != nil {
 		return verdict{failure: err}
--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -110,6 +111,34 @@
 	return len(e.running)
 }
 
+// runsTaskOf reports whether a task of a job runs.
+func (e *executor) runsTaskOf(job string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for task := range e.running {
+		if strings.HasPrefix(task, job) {
+			return true
+		}
+	}
+	return false
+}
+
+// vanish ends the executor without a word, for good. Its entry goes after three heartbeats of silence.
+func (e *executor) vanish() {
+	e.mu.Lock()
+	e.hangs, e.ended = true, true
+	for task, r := range e.running {
+		r.timer.Stop()
+		e.platform.ended(e, r, "lost")
+		delete(e.running, task)
+	}
+	close(e.over)
+	e.mu.Unlock()
+	e.platform.lose(e)
+	e.platform.record.logf("executor %s is lost for good", e.id)
+	time.AfterFunc(3*heartbeat, func() { e.platform.store.remove("servers/" + e.id) })
+}
+
 // drain reports that the executor is about to leave.
 func (e *executor) drain() {
 	e.mu.Lock()
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -32,8 +32,8 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(o options, r *record) verdict{
-	"held-orders":  playHeldOrders,
-	"drain-resend": playDrainResend,
+	"drain-resend":  playDrainResend,
+	"moved-to-lost": playMovedToLost,
 }
 
 func main() {
@@ -89,11 +89,11 @@
 func (notReadyError) Error() string { return "no job was accepted at the start" }
 
 // fleetOf starts the platform and three members, and waits until they accept jobs.
-func fleetOf(o options, r *record, p *platform, queues []queue, services []string, onOrder func(*member, []byte)) ([]*member, *clients, error) {
+func fleetOf(o options, r *record, p *platform, queues []queue, services []string) ([]*member, *clients, error) {
 	p.configure(1, queues, services)
 	var members []*member
 	for i := range 3 {
-		m, err := startMember(o.program, o.directory, fmt.Sprintf("member-%d", i+1), p, onOrder)
+		m, err := startMember(o.program, o.directory, fmt.Sprintf("member-%d", i+1), p)
 		if err != nil {
 			return members, nil, err
 		}
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -10,12 +10,10 @@
 	"time"
 )
 
-// member is a process of fulmarnoded with its paths to the platform.
+// member is a process of fulmarnoded.
 type member struct {
 	name    string
 	callers string
-	store   *proxy
-	fleet   *proxy
 	command *exec.Cmd
 	log     *os.File
 	exited  chan struct{}
@@ -45,22 +43,15 @@
 }
 
 // startMember starts a member with its logs and settings in a directory.
-func startMember(program, directory, name string, p *platform, onOrder func(*member, []byte)) (*member, error) {
+func startMember(program, directory, name string, p *platform) (*member, error) {
 	m := &member{name: name, exited: make(chan struct{})}
-	var err error
-	if m.store, err = newProxy(p.storeAddress, nil); err != nil {
-		return nil, err
-	}
-	if m.fleet, err = newProxy(p.fleetAddress, func(data []byte) { onOrder(m, data) }); err != nil {
-		return nil, err
-	}
 	a, err := freeAddresses(4)
 	if err != nil {
 		return nil, err
 	}
 	m.callers = a[0]
 	path := filepath.Join(directory, name+".jsonc")
-	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], a[3], m.store.address(), m.fleet.address())
+	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], a[3], p.storeAddress, p.fleetAddress)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -82,18 +73,6 @@
 	return m, nil
 }
 
-// begin cuts the member off from the platform's store and VM API.
-func (m *member) begin() {
-	m.store.begin()
-	m.fleet.begin()
-}
-
-// heal ends the cut.
-func (m *member) heal() {
-	m.store.heal()
-	m.fleet.heal()
-}
-
 // stop kills the process and waits for its end.
 func (m *member) stop() {
 	_ = m.command.Process.Signal(syscall.SIGKILL)
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -27,19 +27,6 @@
 	executor   *executor
 }
 
-// order is a call to the VM API that moves a VM or begins its upkeep, in the order of arrival.
-type order struct {
-	at     int64
-	vm     string
-	kind   string
-	detail string
-	holder string
-	token  int64
-	status int
-	// ended is the number of runs that the order has ended.
-	ended int
-}
-
 // start is the start of a run, as its executor saw it.
 type start struct {
 	at       int64
@@ -55,18 +42,20 @@
 
 	storeAddress, fleetAddress string
 
-	mu     sync.Mutex
-	vms    []*vm
-	orders []order
+	mu  sync.Mutex
+	vms []*vm
 
 	// startsMu may be locked while an executor is, which may be locked while mu is.
 	startsMu sync.Mutex
 	starts   []start
+	// present counts the runs of each task, ends has the time of its last end.
+	present map[string]int
+	ends    map[string]int64
 }
 
 // newPlatform starts the platform with pools of VMs by service; racks hold four VMs.
 func newPlatform(r *record, pools map[string]int, order []string) (*platform, error) {
-	p := &platform{record: r, store: newStore()}
+	p := &platform{record: r, store: newStore(), present: map[string]int{}, ends: map[string]int64{}}
 	var err error
 	if p.storeAddress, _, err = serve(p.store.handler()); err != nil {
 		return nil, err
@@ -107,24 +96,36 @@
 	p.startsMu.Lock()
 	defer p.startsMu.Unlock()
 	p.starts = append(p.starts, start{p.record.now(), e.id, r.task, r.number})
+	p.present[r.task]++
 }
 
 func (p *platform) ended(e *executor, r *run, how string) {
 	p.record.logf("end task %s run %d at %s: %s", r.task, r.number, e.id, how)
+	p.startsMu.Lock()
+	defer p.startsMu.Unlock()
+	p.present[r.task]--
+	p.ends[r.task] = p.record.now()
 }
 
-// startsOf returns a copy of the starts so far.
-func (p *platform) startsOf() []start {
+// lastEnd returns when the last run of a task ended, and whether it runs now.
+func (p *platform) lastEnd(task string) (int64, bool) {
 	p.startsMu.Lock()
 	defer p.startsMu.Unlock()
-	return append([]start{}, p.starts...)
+	return p.ends[task], p.present[task] > 0
 }
 
-// ordersSoFar returns a copy of the orders so far.
-func (p *platform) ordersSoFar() []order {
+// lose takes the VM of an executor that is lost for good off the pool.
+func (p *platform) lose(e *executor) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]order{}, p.orders...)
+	e.vm.state, e.vm.executor = "down", nil
+}
+
+// startsOf returns a copy of the starts so far.
+func (p *platform) startsOf() []start {
+	p.startsMu.Lock()
+	defer p.startsMu.Unlock()
+	return append([]start{}, p.starts...)
 }
 
 // configure writes the operators' configuration.
@@ -174,7 +175,6 @@
 	var c struct {
 		Machine string `json:"machine"`
 		Pool    string `json:"pool"`
-		Wave    int64  `json:"wave"`
 	}
 	if !readJSON(w, q, &c) {
 		return
@@ -182,18 +182,8 @@
 	token, _ := strconv.ParseInt(q.Header.Get("X-Fencing-Token"), 10, 64)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	running := p.countRuns(c.Machine)
 	status, reason := p.execute(kind, c.Machine, c.Pool)
-	if status != http.StatusOK || reason != "" {
-		running = 0
-	}
-	detail := c.Pool
-	if kind == "upkeep" {
-		detail = "wave " + strconv.FormatInt(c.Wave, 10)
-	}
-	o := order{p.record.now(), c.Machine, kind, detail, q.Header.Get("X-Duty-Holder"), token, status, running}
-	p.orders = append(p.orders, o)
-	p.record.logf("order %s %s (%s) from %s with token %d: %d %s, ends %d runs", kind, o.vm, detail, o.holder, token, status, reason, running)
+	p.record.logf("order %s %s to %q from %s with token %d: %d %s", kind, c.Machine, c.Pool, q.Header.Get("X-Duty-Holder"), token, status, reason)
 	if status == http.StatusConflict {
 		writeJSON(w, status, map[string]string{"reason": reason})
 		return
@@ -230,15 +220,6 @@
 	return http.StatusOK, ""
 }
 
-// countRuns returns the number of runs on a VM. The caller holds p.mu.
-func (p *platform) countRuns(name string) int {
-	v := p.find(name)
-	if v == nil || v.executor == nil {
-		return 0
-	}
-	return v.executor.countRuns()
-}
-
 // find returns a VM by its name. The caller holds p.mu.
 func (p *platform) find(name string) *vm {
 	for _, v := range p.vms {
