review: case 11, a late start runs a completed task while the owner changes

An attempt of a start that is under way for 4 s arrives after the executor has restarted under its identifier and before the next owner has reached it; another attempt was answered, the run had ended, its end was taken note of, and the job was shown as completed.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -6,4 +6,4 @@
 if [ "${TROUBLE:-1}" = 0 ]; then
   trouble=false
 fi
-exec target/review-3/standin-3 moved-to-lost --program target/fulmarnoded --record review/11/record.txt --trouble=$trouble --length 18s
+exec target/review-3/standin-3 late-start --program target/fulmarnoded --record review/11/record.txt --trouble=$trouble
--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -69,6 +69,14 @@
 	if e.address, e.server, err = serve(e.guard(mux)); err != nil {
 		return nil, err
 	}
+	if p.hasPaths {
+		h, err := p.pathTo(v)
+		if err != nil {
+			return nil, err
+		}
+		h.setTarget(e.address)
+		e.address = h.address
+	}
 	e.register()
 	go e.beat()
 	return e, nil
@@ -139,6 +147,22 @@
 	time.AfterFunc(3*heartbeat, func() { e.platform.store.remove("servers/" + e.id) })
 }
 
+// crash ends the executor and all that it knows, without a word.
+func (e *executor) crash() {
+	e.mu.Lock()
+	e.hangs, e.ended = true, true
+	for task, r := range e.running {
+		r.timer.Stop()
+		e.platform.ended(e, r, "crashed")
+		delete(e.running, task)
+	}
+	close(e.over)
+	e.mu.Unlock()
+	e.platform.lose(e)
+	_ = e.server.Close()
+	e.platform.record.logf("executor %s, born %d, crashes", e.id, e.born)
+}
+
 // drain reports that the executor is about to leave.
 func (e *executor) drain() {
 	e.mu.Lock()
@@ -243,9 +267,13 @@
 
 func (e *executor) serveStart(w http.ResponseWriter, q *http.Request) {
 	var c command
-	if !readJSON(w, q, &c) {
-		return
+	if readJSON(w, q, &c) {
+		e.start(w, c)
 	}
+}
+
+// start carries out a start.
+func (e *executor) start(w http.ResponseWriter, c command) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.accepts(w, c.Token) {
@@ -360,6 +388,7 @@
 		e.extend(c.Deadline)
 	}
 	for len(e.finished) > 0 && e.finished[0][0].(int64) <= c.Cursor {
+		e.platform.note(e, e.finished[0])
 		e.finished = e.finished[1:]
 	}
 	changed, waits := e.changed, len(e.finished) == 0 && c.Wait > 0
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(o options, r *record) verdict{
 	"drain-resend":  playDrainResend,
 	"moved-to-lost": playMovedToLost,
+	"late-start":    playLateStart,
 }
 
 func main() {
--- a/review/standin-3/platform.go
+++ b/review/standin-3/platform.go
@@ -25,6 +25,7 @@
 	state      string
 	lives      int
 	executor   *executor
+	path       *path
 }
 
 // start is the start of a run, as its executor saw it.
@@ -51,11 +52,26 @@
 	// present counts the runs of each task, ends has the time of its last end.
 	present map[string]int
 	ends    map[string]int64
+	// noted has the time at which the owner took note of a task's first end that was done.
+	noted map[string]int64
+
+	// hasPaths means that each executor is behind a path.
+	hasPaths bool
+	held     *heldCall
 }
 
 // newPlatform starts the platform with pools of VMs by service; racks hold four VMs.
 func newPlatform(r *record, pools map[string]int, order []string) (*platform, error) {
-	p := &platform{record: r, store: newStore(), present: map[string]int{}, ends: map[string]int64{}}
+	return startPlatform(r, pools, order, false)
+}
+
+// newPlatformWithPaths is newPlatform with a path before each executor.
+func newPlatformWithPaths(r *record, pools map[string]int, order []string) (*platform, error) {
+	return startPlatform(r, pools, order, true)
+}
+
+func startPlatform(r *record, pools map[string]int, order []string, hasPaths bool) (*platform, error) {
+	p := &platform{record: r, store: newStore(), present: map[string]int{}, ends: map[string]int64{}, noted: map[string]int64{}, held: newHeldCall(), hasPaths: hasPaths}
 	var err error
 	if p.storeAddress, _, err = serve(p.store.handler()); err != nil {
 		return nil, err
@@ -114,6 +130,29 @@
 	return p.ends[task], p.present[task] > 0
 }
 
+// note records that the owner has taken note of an end.
+func (p *platform) note(e *executor, row []any) {
+	p.record.logf("end of task %v run %v (%v) at %s is taken note of", row[1], row[2], row[3], e.id)
+	p.startsMu.Lock()
+	defer p.startsMu.Unlock()
+	if task, isName := row[1].(string); isName && row[3] == "done" && p.noted[task] == 0 {
+		p.noted[task] = p.record.now()
+	}
+}
+
+// restart starts the next life of an executor that has crashed, under its ID.
+func (p *platform) restart(e *executor) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next, err := p.startExecutor(e.vm, e.id)
+	if err != nil {
+		p.record.logf("executor %s can't start again: %v", e.id, err)
+		return
+	}
+	e.vm.state, e.vm.executor = "up", next
+	p.record.logf("executor %s, born %d, begins its next life", next.id, next.born)
+}
+
 // lose takes the VM of an executor that is lost for good off the pool.
 func (p *platform) lose(e *executor) {
 	p.mu.Lock()
@@ -230,6 +269,18 @@
 	return nil
 }
 
+// byID returns the executor with an ID that is up, nil if there is none.
+func (p *platform) byID(id string) *executor {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range p.vms {
+		if v.executor != nil && v.executor.id == id {
+			return v.executor
+		}
+	}
+	return nil
+}
+
 // executors returns the executors of a service that are up.
 func (p *platform) executors(service string) []*executor {
 	p.mu.Lock()
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// get returns the value of a key.
+func (s *store) get(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 func (s *store) putLocked(key string, value []byte, lease int64) {
 	i := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
 	if old, found := s.items[key]; found {
