--- a/review/standin-3/latestart.go
+++ b/review/standin-3/latestart.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// heldTimeout is how long the case waits for the start.
+	heldTimeout = 10 * time.Second
 	// lateBy is for how long the start is under way.
 	lateBy = 4000 * time.Millisecond
 	// killAt, crashAt and backAt are when, after the start was sent, the owner is killed, the executor
@@ -37,7 +39,11 @@
 	if !accepted {
 		return verdict{failure: notReadyError{}}
 	}
-	<-p.held.held
+	select {
+	case <-p.held.held:
+	case <-time.After(heldTimeout):
+		return verdict{failure: noStartError{}}
+	}
 	heldAt := time.Now()
 	e, task := p.byID(p.held.id), job+".0.0.0"
 	if e == nil {
@@ -63,6 +69,10 @@
 	return verdict{broken: repeatedStarts(p, task)}
 }
 
+type noStartError struct{}
+
+func (noStartError) Error() string { return "no start was sent" }
+
 func sleepUntil(at time.Time) { time.Sleep(time.Until(at)) }
 
 // killOwner kills the member that owns the scheduler.
