fulmarsched: log starts with an attempt that may still be executed

Cause: nothing in the owner's log told a start whose attempts were all answered from one with an attempt without an answer: a start answered as done was not logged, whatever its attempts.

No decision changes.

--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -43,6 +43,10 @@
 	if result != fulmarjob.ResultDone {
 		s.log.Count("start_refusals", result.String())
 	}
+	if result.IsAnswer() && attempts > 1 {
+		s.log.Log("executor answered one of several attempts of a start; another one may still be executed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", target.ID, "answer", result, "attempts", attempts)
+		s.log.Count("open_starts", result.String())
+	}
 	if t == nil || t.state != taskPlaced || t.run != run || t.executor.info.ID != target.ID || t.executor.info.Incarnation != target.Incarnation {
 		return
 	}
