fulmarsched: hold back acknowledgements while a start may still be executed

Cause: the owner acknowledged the end of a run while an attempt of its start had no answer. Such a call may be executed seconds later (PROTOCOL.md). If its executor has restarted by then, nothing bars it there: the new incarnation has seen no fencing token, its clock begins anew, the header names both incarnations, and the run is unknown.

The owner's log says attempts=2 and start_settled=false before it acknowledges, so it knew.

Change: an end done or failed is not acknowledged before its start is settled, by answers to all attempts or after lateExecutionBound; an end that was not acknowledged is lost with its incarnation. The outcome is journaled and shown at once, as before. Settled starts go along with batches that have other changes. Limits: ends held for over three quarters of the timeout for acknowledgements (a new bound in the settings) count as late, and at most a tenth of all ends and 20 more are; none are held while an executor may list only a part of its ends.

TestRandomFaultsWithQuotas lets late commands reach later incarnations, too.

--- a/internal/fulmarnode/settings.go
+++ b/internal/fulmarnode/settings.go
@@ -44,6 +44,7 @@
 	StopTimeoutMillis      float64 `json:"stop_within_ms"`
 	StatusRetentionSeconds float64 `json:"status_kept_s"`
 	TakeoverDelayMillis    float64 `json:"fleet_turn_ms"`
+	AcknowledgeMillis      float64 `json:"acknowledge_ms"`
 	MaintenanceSeconds     float64 `json:"upkeep_s"`
 	MoveSeconds            float64 `json:"move_s"`
 	ShutdownSeconds        float64 `json:"stop_process_s"`
@@ -57,7 +58,7 @@
 // defaultBounds applies to bounds that the settings file leaves out.
 var defaultBounds = BoundSettings{
 	MinLeaseMillis: 1000, MaxLeaseMillis: 10000, StopTimeoutMillis: 1000, StatusRetentionSeconds: 120,
-	TakeoverDelayMillis: 3000, MaintenanceSeconds: 2, MoveSeconds: 2, ShutdownSeconds: 6,
+	TakeoverDelayMillis: 3000, AcknowledgeMillis: 4000, MaintenanceSeconds: 2, MoveSeconds: 2, ShutdownSeconds: 6,
 }
 
 // DefaultBounds returns the bounds that apply when a settings file leaves them out.
@@ -124,8 +125,8 @@
 	b := s.Bounds
 	return fulmarsched.Parameters{
 		MaxLease: fulmarclock.Millis(b.MaxLeaseMillis), StopTimeout: fulmarclock.Millis(b.StopTimeoutMillis),
-		StatusRetention:   fulmarclock.Millis(b.StatusRetentionSeconds * millisPerSecond),
-		TakeoverDelay:     fulmarclock.Millis(b.TakeoverDelayMillis),
+		StatusRetention: fulmarclock.Millis(b.StatusRetentionSeconds * millisPerSecond),
+		TakeoverDelay:   fulmarclock.Millis(b.TakeoverDelayMillis), AcknowledgeTimeout: fulmarclock.Millis(b.AcknowledgeMillis),
 		RenewalsPerSecond: s.Cores * renewalsPerCore, ForecastDemand: s.Forecast, LookAhead: s.LookAhead,
 		MaintenanceDuration: fulmarclock.Millis(b.MaintenanceSeconds * millisPerSecond), MoveDuration: fulmarclock.Millis(b.MoveSeconds * millisPerSecond),
 	}
--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -17,6 +17,12 @@
 	// lateExecutionBound is how long after it was sent a command, any hedged attempt of it included, may
 	// be executed without a response.
 	lateExecutionBound = 13 * fulmarclock.Second
+	// timelyFraction is the fraction of the timeout for acknowledgements within which one is not late.
+	timelyFraction = 0.75
+	// maxLateShare is the share of all ends that may be acknowledged late because of held ends,
+	// lateEndsBurst how many may be at once.
+	maxLateShare  = 0.1
+	lateEndsBurst = 20
 	// resendDelay is the delay before a start or stop without a result is sent again.
 	resendDelay = 400 * fulmarclock.Millis(1)
 	// expiryMargin is added to leasesEndBy before the leases count as expired.
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -27,6 +27,8 @@
 	changes int
 	// strayRuns are the other runs that may be present on the executor.
 	strayRuns map[runKey]strayRun
+	// openStarts are those of the scheduler.
+	openStarts *openStarts
 	// ledger counts the tasks and stray runs towards their customers' quotas.
 	ledger *fulmarquota.Ledger
 
@@ -65,6 +67,11 @@
 	acknowledged             int64
 	acknowledgementConfirmed int64
 	countsFromStart          bool
+	// heldEnds are finished runs that may not be acknowledged yet, oldest first.
+	heldEnds []heldEnd
+	// lateThrough is the sequence number of the last finished run that was taken from the budget of ends
+	// that are acknowledged late.
+	lateThrough int64
 	// moreFinished means that the last report may not have listed all finished runs. What it does not
 	// list may have finished.
 	moreFinished bool
@@ -109,7 +116,7 @@
 }
 
 func (s *Scheduler) newExecutor(id string) *executor {
-	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now, fence: s.newFence(), ledger: s.quotas.ledger}
+	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now, fence: s.newFence(), ledger: s.quotas.ledger, openStarts: s.openStarts}
 	e.info.ID = id
 	s.executors[id] = e
 	at, _ := slices.BinarySearchFunc(s.executorList, id, compareID)
@@ -233,6 +240,7 @@
 	delete(e.tasks, t.id)
 	e.used = e.used.Sub(t.step.Reserved())
 	e.releaseQuota(t.charge())
+	e.openStarts.noteRemoved(t.startKey())
 	e.changes++
 	t.executor = nil
 	t.job.placedTasks--
--- a/internal/fulmarsched/finishedrun.go
+++ b/internal/fulmarsched/finishedrun.go
@@ -36,6 +36,7 @@
 			e.finishedQueued = true
 			s.executorsWithFinished = append(s.executorsWithFinished, e)
 		}
+		s.holdEnd(e, f)
 		s.handleFinishedTask(e, f)
 	}
 }
@@ -55,7 +56,7 @@
 	}
 	r := t.runNumbered(f.Run)
 	s.log.Log("run ended", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.Outcome, "executor", e.info.ID, "attempts", t.attempts,
-		"image", t.step.Image, "took_ms", s.now-r.confirmedAt, "start_settled", r.isStartSettled(s.now) && !r.inherited, "sequence", f.Sequence, "declared_ms", t.step.EstimatedDuration, "expected_ms", s.estimate(t.job, t.step))
+		"image", t.step.Image, "took_ms", s.now-r.confirmedAt, "start_settled", !s.openStarts.isOpen(s.now, startKey{e.info.ID, runKey{f.Task, f.Run}}), "sequence", f.Sequence, "declared_ms", t.step.EstimatedDuration, "expected_ms", s.estimate(t.job, t.step))
 	isCurrent := r.state == taskPlaced && r.executor == e && r.run == f.Run
 	if isCurrent {
 		s.confirmRun(r)
--- a/internal/fulmarsched/job.go
+++ b/internal/fulmarsched/job.go
@@ -67,8 +67,8 @@
 	// previous owners. inherited means that a previous owner may have sent one.
 	startsSent int
 	inherited  bool
-	// startAnswered means that the executor has answered the only attempt of the only start command,
-	// so that none is still on its way.
+	// startAnswered means that the executor has answered the run's start and no attempt of it can be
+	// executed any more. The journal says so, too, except of lasting tasks, so that a later owner knows.
 	startAnswered bool
 	// uncertain means that one of several starts was refused, or that a start that was meant for an
 	// earlier incarnation of the executor may have reached the present one, or still may. Its next
@@ -98,6 +98,9 @@
 	reservedFor fulmarclock.Millis
 }
 
+// startKey identifies the starts of the task's run on its executor.
+func (t *task) startKey() startKey { return startKey{t.executor.info.ID, runKey{t.id, t.run}} }
+
 // setState changes the state and keeps the occurrence's number of waiting tasks up to date.
 func (t *task) setState(state taskState) {
 	if t.state == taskWaiting && t.original == nil {
--- /dev/null
+++ b/internal/fulmarsched/openstart.go
@@ -0,0 +1,182 @@
+package fulmarsched
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// openStartKeyPrefix is the prefix of the journal keys of open starts, by executor.
+const openStartKeyPrefix = "s/"
+
+// startKey identifies the starts of a run on an executor. Whichever incarnation has the executor's ID may
+// execute them.
+type startKey struct {
+	executor string
+	run      runKey
+}
+
+// openStarts are the starts of which an attempt may still be executed: by the incarnation that it was
+// meant for, which ignores it, or by a later one, which knows nothing of the run and starts the task again.
+// Starts of previous owners come from the journal: those of placed runs that it does not call settled,
+// and those that it lists for an executor since the run was removed from there.
+//
+// Usage:
+//
+//	starts.noteSent(now, key)
+//	settled := starts.noteResult(key, attempts, result)
+//	starts.noteRemoved(key)
+//	starts.isOpen(now, key)
+type openStarts struct {
+	starts map[startKey]*openStart
+	// changed are the executors whose journal record is out of date.
+	changed map[string]bool
+}
+
+// openStart is a start with an attempt that has no answer yet, or none at all.
+type openStart struct {
+	// unsettled is the number of start commands with such an attempt.
+	unsettled int
+	// until is when the last of them has been executed at the latest.
+	until fulmarclock.Millis
+	// removed means that the run is not placed on the executor any more.
+	removed bool
+}
+
+func newOpenStarts() *openStarts {
+	return &openStarts{starts: map[startKey]*openStart{}, changed: map[string]bool{}}
+}
+
+// noteSent records that a start command is sent now. A run may have several.
+func (o *openStarts) noteSent(now fulmarclock.Millis, key startKey) {
+	start := o.starts[key]
+	if start == nil {
+		start = &openStart{}
+		o.starts[key] = start
+	}
+	start.unsettled++
+	start.until = now + lateExecutionBound
+}
+
+// noteResult records the result of a start command, and reports whether no start of the run can be executed
+// any more. The command is settled if its only attempt was answered, or never sent.
+func (o *openStarts) noteResult(key startKey, attempts int, result fulmarjob.CommandResult) bool {
+	start := o.starts[key]
+	if start == nil {
+		return false
+	}
+	if attempts == 1 && result != fulmarjob.ResultUnknown {
+		start.unsettled--
+	}
+	if start.unsettled > 0 {
+		return false
+	}
+	o.remove(key)
+	return true
+}
+
+// noteRemoved records that a run is not placed on its executor any more. The journal then lists its start
+// for the executor, if it is open.
+func (o *openStarts) noteRemoved(key startKey) {
+	if start := o.starts[key]; start != nil {
+		start.removed = true
+		o.changed[key.executor] = true
+	}
+}
+
+// noteInherited records a start of a previous owner that may be open. When it was sent is unknown.
+func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, removed bool) {
+	o.starts[key] = &openStart{unsettled: 1, until: now + lateExecutionBound, removed: removed}
+}
+
+// openUntil returns until when a start of a run may be executed, zero if none may.
+func (o *openStarts) openUntil(now fulmarclock.Millis, key startKey) fulmarclock.Millis {
+	if start := o.starts[key]; start != nil && start.until > now {
+		return start.until
+	}
+	return 0
+}
+
+// isOpen reports whether a start of a run may still be executed.
+func (o *openStarts) isOpen(now fulmarclock.Millis, key startKey) bool {
+	return o.openUntil(now, key) > 0
+}
+
+// dropExpired drops the starts that can't be executed any more.
+func (o *openStarts) dropExpired(now fulmarclock.Millis) {
+	for key, start := range o.starts {
+		if start.until <= now {
+			o.remove(key)
+		}
+	}
+}
+
+func (o *openStarts) remove(key startKey) {
+	if o.starts[key].removed {
+		o.changed[key.executor] = true
+	}
+	delete(o.starts, key)
+}
+
+// openStartRecord is an open start in the journal record of its executor.
+type openStartRecord struct {
+	Job        string `json:"j"`
+	Occurrence int    `json:"o,omitempty"`
+	Step       int    `json:"s,omitempty"`
+	Index      int    `json:"i,omitempty"`
+	Run        int64  `json:"r"`
+}
+
+func newOpenStartRecord(r runKey) openStartRecord {
+	return openStartRecord{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: r.task.Step, Index: r.task.Index, Run: r.run}
+}
+
+func (r openStartRecord) key(executor string) startKey {
+	task := fulmarjob.TaskID{Job: r.Job, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index}
+	return startKey{executor, runKey{task, r.Run}}
+}
+
+// changedRecords returns the records of the executors that changed.
+func (o *openStarts) changedRecords() []Record {
+	var records []Record
+	for _, executor := range slices.Sorted(maps.Keys(o.changed)) {
+		records = append(records, o.encode(executor))
+	}
+	clear(o.changed)
+	return records
+}
+
+// encode returns the record of an executor, without a value if no start is listed.
+func (o *openStarts) encode(executor string) Record {
+	var runs []runKey
+	for key, start := range o.starts {
+		if key.executor == executor && start.removed {
+			runs = append(runs, key.run)
+		}
+	}
+	if len(runs) == 0 {
+		return Record{Key: openStartKeyPrefix + executor}
+	}
+	slices.SortFunc(runs, func(a, b runKey) int { return cmp.Or(compareTaskIDs(a.task, b.task), cmp.Compare(a.run, b.run)) })
+	listed := make([]openStartRecord, len(runs))
+	for i, r := range runs {
+		listed[i] = newOpenStartRecord(r)
+	}
+	return encodeRecord(openStartKeyPrefix+executor, listed)
+}
+
+// restore loads the record of an executor.
+func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage) error {
+	var listed []openStartRecord
+	if err := json.Unmarshal(value, &listed); err != nil {
+		return err
+	}
+	for _, r := range listed {
+		o.noteInherited(now, r.key(executor), true)
+	}
+	return nil
+}
--- a/internal/fulmarsched/randomrestart_test.go
+++ b/internal/fulmarsched/randomrestart_test.go
@@ -120,6 +120,7 @@
 	{name: "copies of cancelled jobs", steps: copiedSteps, faults: []func(*simulation, *randomSource){cancelJob, removeEntry, leaveOddEntry}, setUp: slowSome},
 	{name: "copies and capacities", steps: copiedSteps, faults: []func(*simulation, *randomSource){changeCapacity, repeatStart, setClockBack}, setUp: slowSome},
 	{name: "copies in short lists", steps: copiedSteps, faults: []func(*simulation, *randomSource){removeEntry, cancelJob}, setUp: listFewAndSlowSome},
+	{name: "late commands that outlive the executor", steps: shortSteps, setUp: func(s *simulation, _ *randomSource) { s.lateCommandsSurvive = true }},
 	{name: "mix", steps: gangSteps, faults: []func(*simulation, *randomSource){removeEntry, cancelJob, changeCapacity, repeatStart, setClockBack}},
 }
 
--- a/internal/fulmarsched/record.go
+++ b/internal/fulmarsched/record.go
@@ -54,7 +54,9 @@
 	Executor    string    `json:"e,omitempty"`
 	Incarnation int64     `json:"b,omitempty"`
 	// VM is the VM of the executor: a later incarnation on the same VM ends this one.
-	VM         string `json:"v,omitempty"`
+	VM string `json:"v,omitempty"`
+	// Settled means that no start of the run can be executed any more.
+	Settled    bool   `json:"t,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
 	Started    bool   `json:"g,omitempty"`
 	Moving     bool   `json:"l,omitempty"`
@@ -73,6 +75,7 @@
 	Executor    string `json:"e"`
 	Incarnation int64  `json:"b,omitempty"`
 	VM          string `json:"v,omitempty"`
+	Settled     bool   `json:"t,omitempty"`
 }
 
 // changedRecords returns the records of everything that changed since the last batch, and of the
@@ -84,6 +87,7 @@
 		records = s.appendJobRecords(records, j)
 	}
 	s.dirtyJobs = nil
+	records = append(records, s.openStarts.changedRecords()...)
 	records = append(records, s.changedUnresponsiveRecords()...)
 	records = append(records, s.changedMoveRecords()...)
 	records = append(records, s.changedModelRecords()...)
@@ -133,6 +137,9 @@
 	if id, found := strings.CutPrefix(key, unresponsiveKeyPrefix); found {
 		return s.encodeUnresponsive(id)
 	}
+	if id, found := strings.CutPrefix(key, openStartKeyPrefix); found {
+		return s.openStarts.encode(id)
+	}
 	if modelKey, found := strings.CutPrefix(key, modelKeyPrefix); found && s.durationModels[modelKey] != nil {
 		return encodeRecord(key, s.durationModels[modelKey].record())
 	}
@@ -189,6 +196,7 @@
 			records[i] = taskRecord{State: t.state, Run: t.run, Attempts: t.attempts, FailedRun: t.failedRun, Checkpoint: t.checkpoint, Started: t.job.started, Moving: t.moving, Crashes: t.crashes, Suspicions: t.suspicions, EarlyCrashes: t.earlyCrashes, CopyRun: t.copyRun, Copy: t.copyRecord()}
 			if t.state == taskPlaced {
 				records[i].Executor, records[i].Incarnation, records[i].VM = t.executor.info.ID, t.executor.info.Incarnation, t.executor.info.VM
+				records[i].Settled = t.startAnswered
 			}
 		}
 		r.Steps = append(r.Steps, records)
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -65,10 +65,11 @@
 // could have ended on a later incarnation: a report comes first. An acknowledgement without a response
 // is repeated; the fence keeps the earlier one from following a later start.
 func (s *Scheduler) dueAcknowledgement(e *executor) int64 {
-	if e.retired || e.acknowledged == e.acknowledgementConfirmed || e.failedRenewals > 0 || s.hasUnreportedStart(e) {
+	due := s.acknowledgeable(e)
+	if e.retired || due <= e.acknowledgementConfirmed || e.failedRenewals > 0 || s.hasUnreportedStart(e) {
 		return 0
 	}
-	return e.acknowledged
+	return due
 }
 
 // hasUnreportedStart reports whether a start was sent whose run no report has shown. One that is sent
@@ -190,11 +191,14 @@
 	if len(e.tasks) == 0 && len(e.strayRuns) == 0 && e.finishedSeen == e.acknowledgementConfirmed {
 		return
 	}
+	due := s.dueAcknowledgement(e)
 	switch {
-	case !tokenWasAccepted || s.dueAcknowledgement(e) > 0:
+	case !tokenWasAccepted || due > 0:
 		s.scheduleRenewal(e, 0)
 	case e.finishedSeen > e.acknowledged:
 		s.scheduleRenewal(e, s.now+unjournaledRenewalInterval)
+	case len(e.tasks) == 0 && len(e.strayRuns) == 0 && len(e.heldEnds) > 0:
+		s.scheduleRenewal(e, s.heldUntil(e))
 	default:
 		s.scheduleRenewal(e, max(s.now, e.renewalSentAt+s.renewalInterval))
 	}
--- a/internal/fulmarsched/restore.go
+++ b/internal/fulmarsched/restore.go
@@ -42,6 +42,11 @@
 		}
 	}
 	for _, r := range records {
+		if id, found := strings.CutPrefix(r.Key, openStartKeyPrefix); found {
+			if err := s.openStarts.restore(s.now, id, r.Value); err != nil {
+				return &fulmarjob.FormatError{What: r.Key, Cause: err}
+			}
+		}
 		if id, found := strings.CutPrefix(r.Key, unresponsiveKeyPrefix); found {
 			if err := s.restoreUnresponsive(id, r.Value); err != nil {
 				return &fulmarjob.FormatError{What: r.Key, Cause: err}
@@ -178,7 +183,10 @@
 		e.info.Incarnation, e.info.VM = record.Incarnation, record.VM
 	}
 	e.addTask(t)
-	t.journaled, t.inherited = true, true
+	t.journaled, t.inherited, t.startAnswered = true, true, record.Settled
+	if !record.Settled {
+		s.openStarts.noteInherited(s.now, t.startKey(), false)
+	}
 	t.moving, t.movingJournaled = record.Moving, record.Moving
 }
 
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -35,6 +35,8 @@
 	StopTimeout fulmarclock.Millis
 	// StatusRetention is how long the state of an ended job must stay available to callers.
 	StatusRetention fulmarclock.Millis
+	// AcknowledgeTimeout is how long the ends of runs may stay unacknowledged, but for a few.
+	AcknowledgeTimeout fulmarclock.Millis
 	// TakeoverDelay is how long a new owner waits before it sends a command for a VM that a
 	// previous owner may have sent one for.
 	TakeoverDelay fulmarclock.Millis
@@ -88,6 +90,8 @@
 	executors    map[string]*executor
 	// executorList holds the same executors, sorted by ID.
 	executorList []*executor
+	openStarts   *openStarts
+	holdBudget   holdBudget
 	waves        map[int64]*wave
 	// durationModels holds a model for each estimateKey.
 	durationModels   map[string]*durationModel
@@ -132,8 +136,9 @@
 	// placementsLeft is how many more tasks may be placed.
 	placementsLeft int
 
-	// The changes since the last batch.
+	// The changes since the last batch. settledJobs are jobs with starts that have been settled.
 	dirtyJobs             []*job
+	settledJobs           []*job
 	placedTasks           []*task
 	executorsWithFinished []*executor
 	chosenVMs             []*vmMaintenance
@@ -152,6 +157,8 @@
 		params: params, token: token, revision: token, log: log, now: now, startedAt: now,
 		jobs:           map[string]*job{},
 		executors:      map[string]*executor{},
+		openStarts:     newOpenStarts(),
+		holdBudget:     newHoldBudget(),
 		waves:          map[int64]*wave{},
 		durationModels: map[string]*durationModel{},
 		vms:            map[string]fulmarjob.VM{},
@@ -197,6 +204,7 @@
 		s.checkExecutor(e)
 	}
 	s.dropEndedJobs()
+	s.openStarts.dropExpired(now)
 	s.dropLapses()
 	s.dropCrashedVMs()
 	for _, j := range s.activeJobs {
@@ -253,6 +261,7 @@
 	s.now, s.unixMillis = now, unixMillis
 	s.place()
 	s.speculate()
+	s.recordSettledStarts()
 	b := &Batch{plannedAt: now, placedTasks: s.placedTasks, chosenVMs: s.chosenVMs, endedJobs: s.endedJobs, moves: s.changedMoves, movingTasks: s.movingTasks}
 	b.Records = s.changedRecords(rewrite)
 	for _, e := range s.executorsWithFinished {
--- a/internal/fulmarsched/speculate.go
+++ b/internal/fulmarsched/speculate.go
@@ -303,7 +303,7 @@
 		return nil
 	}
 	e := t.copy.executor.info
-	return &copyRecord{Executor: e.ID, Incarnation: e.Incarnation, VM: e.VM}
+	return &copyRecord{Executor: e.ID, Incarnation: e.Incarnation, VM: e.VM, Settled: t.copy.startAnswered}
 }
 
 // restoreCopy restores the placement of a task's copy, if a previous owner has journaled one.
@@ -313,5 +313,5 @@
 	}
 	t.copy = newCopy(t)
 	t.copy.run = t.copyRun
-	s.restorePlacement(t.copy, taskRecord{Executor: r.Executor, Incarnation: r.Incarnation, VM: r.VM})
+	s.restorePlacement(t.copy, taskRecord{Executor: r.Executor, Incarnation: r.Incarnation, VM: r.VM, Settled: r.Settled})
 }
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -16,6 +16,10 @@
 		s.stopRun(t, stopJobEnded)
 		return
 	}
+	if t.startAnswered {
+		s.unsettleStart(t)
+		return
+	}
 	if !e.hasRoomFor(t) {
 		s.withdrawStart(t, stopCapacityShrunk)
 		return
@@ -26,6 +30,7 @@
 	e.fence.beginStart(s.revision, e.mayHaveRestarted(s.now))
 	t.startSentAt = s.now
 	t.startsSent++
+	s.openStarts.noteSent(s.now, t.startKey())
 	deadline := e.clockLowerBound(s.now) + startValidity
 	e.extendLeaseBound(s.now, deadline, s.params.MaxLease)
 	s.commands = append(s.commands, StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{
@@ -47,11 +52,14 @@
 		s.log.Log("executor answered one of several attempts of a start; another one may still be executed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", target.ID, "answer", result, "attempts", attempts)
 		s.log.Count("open_starts", result.String())
 	}
+	isSettled := s.noteStartResult(target, runKey{id, run}, attempts, result)
 	if t == nil || t.state != taskPlaced || t.run != run || t.executor.info.ID != target.ID || t.executor.info.Incarnation != target.Incarnation {
 		return
 	}
 	e := t.executor
-	t.startAnswered = result.IsAnswer() && attempts == 1 && t.startsSent == 1
+	if isSettled && result.IsAnswer() && result != fulmarjob.ResultFenced {
+		s.settleStart(t)
+	}
 	if result == fulmarjob.ResultDone {
 		s.handleStarted(e, t)
 		return
@@ -60,6 +68,44 @@
 	s.handleRefusedStart(e, t, c, attempts, result)
 }
 
+// noteStartResult records the result of a start, and reports whether no start of the run can be executed
+// any more. An end that was held because of it is then acknowledged.
+func (s *Scheduler) noteStartResult(target Target, run runKey, attempts int, result fulmarjob.CommandResult) bool {
+	isSettled := s.openStarts.noteResult(startKey{target.ID, run}, attempts, result)
+	if e := s.executors[target.ID]; e != nil && isSettled && len(e.heldEnds) > 0 {
+		s.scheduleAcknowledgement(e)
+	}
+	return isSettled
+}
+
+// settleStart records that the executor has answered the start of a task's run and no attempt of it can be
+// executed any more.
+func (s *Scheduler) settleStart(t *task) {
+	t.startAnswered = true
+	if !t.step.LongRunning {
+		s.settledJobs = append(s.settledJobs, t.job)
+	}
+}
+
+// recordSettledStarts adds the settled starts to a batch that has other changes. An append for them alone
+// would make the next change wait.
+func (s *Scheduler) recordSettledStarts() {
+	if len(s.dirtyJobs) == 0 {
+		return
+	}
+	for _, j := range s.settledJobs {
+		s.markDirty(j)
+	}
+	s.settledJobs = nil
+}
+
+// unsettleStart makes the journal take back that a start is settled, before the start is sent again.
+func (s *Scheduler) unsettleStart(t *task) {
+	t.startAnswered, t.journaled = false, false
+	s.placedTasks = append(s.placedTasks, t)
+	s.markDirty(t.job)
+}
+
 func (s *Scheduler) handleStarted(e *executor, t *task) {
 	e.lastResultAt = s.now
 	t.confirmedAt = s.now
