fulmarsched: hold back the ends of a gang while a start of any member is open

What callers could see: a member of a gang started again, by a late start at a restarted executor, after the gang's end had been acknowledged at another executor. "One such end represents all of them" (PROTOCOL.md).

Evidence: TestEndOfGangIsHeldWhileStartOfMemberIsOpen fails without this change: the end of the other member is acknowledged at once, while the start of the first one is open.

Change: open starts say whether they are of a gang; an end is held while a start of the same step and run number is open there. The starts are only searched while one of a gang is open.

Measured: the test passes with the same owner and with a new one; all tests of the package pass.

--- a/internal/fulmarsched/heldend.go
+++ b/internal/fulmarsched/heldend.go
@@ -10,7 +10,9 @@
 // end without an acknowledgement is lost with its incarnation.
 type heldEnd struct {
 	sequence int64
-	start    startKey
+	// starts are the open starts at the time of the report: that of the run and, as the end of one member
+	// of a gang stands for all of them, those of the other members.
+	starts []startKey
 	// readAt is when a report listed the end for the first time.
 	readAt fulmarclock.Millis
 }
@@ -36,9 +38,11 @@
 // holdEnd keeps a reported end, and those after it, from being acknowledged if its start is open.
 func (s *Scheduler) holdEnd(e *executor, f fulmarjob.FinishedTask) {
 	s.holdBudget.noteEnd()
-	start := startKey{e.info.ID, runKey{f.Task, f.Run}}
-	if s.mayNotStartAfter(f) && s.openStarts.isOpen(s.now, start) {
-		e.heldEnds = append(e.heldEnds, heldEnd{sequence: f.Sequence, start: start, readAt: s.now})
+	if !s.mayNotStartAfter(f) {
+		return
+	}
+	if starts := s.openStarts.before(s.now, startKey{e.info.ID, runKey{f.Task, f.Run}}); len(starts) > 0 {
+		e.heldEnds = append(e.heldEnds, heldEnd{sequence: f.Sequence, starts: starts, readAt: s.now})
 		s.log.Count("held_ends", string(f.Outcome))
 	}
 }
@@ -58,7 +62,7 @@
 func (s *Scheduler) releaseEnds(e *executor) {
 	for len(e.heldEnds) > 0 {
 		first := e.heldEnds[0]
-		if s.openStarts.isOpen(s.now, first.start) {
+		if s.openStarts.latest(s.now, first.starts) > 0 {
 			if !e.moreFinished && (s.now < s.lateFrom(first) || s.takeLateEnds(e)) {
 				return
 			}
@@ -96,7 +100,7 @@
 // heldUntil returns when the executor's held ends are to be looked at again, if nothing else happens there.
 func (s *Scheduler) heldUntil(e *executor) fulmarclock.Millis {
 	first := e.heldEnds[0]
-	until := s.openStarts.openUntil(s.now, first.start)
+	until := s.openStarts.latest(s.now, first.starts)
 	if late := s.lateFrom(first); s.now < late {
 		return min(late, until)
 	}
--- a/internal/fulmarsched/heldend_test.go
+++ b/internal/fulmarsched/heldend_test.go
@@ -113,20 +113,48 @@
 			sim.submit(jobID(1), c.step)
 			s := sim.scheduler
 			e, end := s.executors["x-0"], fulmarjob.FinishedTask{Sequence: 1, Task: fulmarjob.TaskID{Job: jobID(1)}, Run: 1, Outcome: c.outcome}
-			s.openStarts.noteSent(sim.now, startKey{"x-0", runKey{end.Task, 1}})
+			s.openStarts.noteSent(sim.now, startKey{"x-0", runKey{end.Task, 1}}, false)
 			s.holdEnd(e, end)
 			quicktest.Check(t, len(e.heldEnds) == 1, quicktest.Equals, c.held)
 		})
 	}
 }
 
+// The end of one member of a gang stands for all, so it must not be acknowledged while another's start is open.
+func TestEndOfGangIsHeldWhileStartOfMemberIsOpen(t *testing.T) {
+	for _, ownerChanges := range []int{0, 1} {
+		t.Run(fmt.Sprintf("%d changes of the owner", ownerChanges), func(t *testing.T) {
+			sim := newSimulation(t, 2)
+			sim.runsTake(1000)
+			sim.commandDelay = func(int) fulmarclock.Millis { return 6000 }
+			gang := step(2)
+			gang.Gang, gang.MaxPerExecutor = true, 1
+			sim.runUntil(1200)
+			sim.repeatsNext = isStart
+			sim.submit(jobID(1), gang)
+			sim.waitFor(3000, "the gang runs", func() bool { return sim.runningCount() == 2 })
+			late := sim.runs[0].executor
+			sim.changeOwner(ownerChanges)
+			sim.waitFor(sim.now+3000, "the job is completed", sim.allCompleted)
+			sim.runUntil(sim.now + 2000)
+			for _, e := range sim.executors {
+				quicktest.Check(t, e.finished, quicktest.HasLen, 1, quicktest.Commentf("%s, the late start is at %s", e.info.ID, late))
+			}
+			sim.runUntil(sim.now + lateExecutionBound)
+			for _, e := range sim.executors {
+				quicktest.Check(t, e.finished, quicktest.HasLen, 0)
+			}
+		})
+	}
+}
+
 // An end that is read before the start's only attempt is answered must be acknowledged with the answer.
 func TestAnswerToStartReleasesHeldEnd(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.runUntil(1200)
 	s, key := sim.scheduler, startKey{"x-0", runKey{fulmarjob.TaskID{Job: jobID(1)}, 1}}
 	e := s.executors["x-0"]
-	s.openStarts.noteSent(sim.now, key)
+	s.openStarts.noteSent(sim.now, key, false)
 	s.handleFinished(e, []fulmarjob.FinishedTask{{Sequence: 1, Task: key.run.task, Run: 1, Outcome: fulmarjob.RunDone}})
 	e.acknowledged = 1
 	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(0))
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -27,12 +27,14 @@
 //
 // Usage:
 //
-//	starts.noteSent(now, key)
+//	starts.noteSent(now, key, isGang)
 //	settled := starts.noteResult(key, attempts, result)
 //	starts.noteRemoved(key)
-//	starts.isOpen(now, key)
+//	keys := starts.before(now, key)
 type openStarts struct {
 	starts map[startKey]*openStart
+	// gangs is the number of those that are of members of gangs.
+	gangs int
 	// changed are the executors whose journal record is out of date.
 	changed map[string]bool
 }
@@ -43,6 +45,8 @@
 	unsettled int
 	// until is when the last of them has been executed at the latest.
 	until fulmarclock.Millis
+	// gang means that the run is of a member of a gang.
+	gang bool
 	// removed means that the run is not placed on the executor any more.
 	removed bool
 }
@@ -52,11 +56,10 @@
 }
 
 // noteSent records that a start command is sent now. A run may have several.
-func (o *openStarts) noteSent(now fulmarclock.Millis, key startKey) {
+func (o *openStarts) noteSent(now fulmarclock.Millis, key startKey, gang bool) {
 	start := o.starts[key]
 	if start == nil {
-		start = &openStart{}
-		o.starts[key] = start
+		start = o.add(key, &openStart{gang: gang})
 	}
 	start.unsettled++
 	start.until = now + lateExecutionBound
@@ -89,8 +92,17 @@
 }
 
 // noteInherited records a start of a previous owner that may be open. When it was sent is unknown.
-func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, removed bool) {
-	o.starts[key] = &openStart{unsettled: 1, until: now + lateExecutionBound, removed: removed}
+func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed bool) {
+	o.add(key, &openStart{unsettled: 1, until: now + lateExecutionBound, gang: gang, removed: removed})
+}
+
+func (o *openStarts) add(key startKey, start *openStart) *openStart {
+	o.remove(key)
+	o.starts[key] = start
+	if start.gang {
+		o.gangs++
+	}
+	return start
 }
 
 // openUntil returns until when a start of a run may be executed, zero if none may.
@@ -106,6 +118,39 @@
 	return o.openUntil(now, key) > 0
 }
 
+// latest returns until when one of several starts may be executed, zero if none may.
+func (o *openStarts) latest(now fulmarclock.Millis, keys []startKey) fulmarclock.Millis {
+	until := fulmarclock.Millis(0)
+	for _, key := range keys {
+		until = max(until, o.openUntil(now, key))
+	}
+	return until
+}
+
+// before returns the open starts that must not be executed after the end of a run: its own, and those of the
+// other members of a gang, which share its number.
+func (o *openStarts) before(now fulmarclock.Millis, ended startKey) []startKey {
+	var keys []startKey
+	if o.isOpen(now, ended) {
+		keys = append(keys, ended)
+	}
+	if o.gangs == 0 {
+		return keys
+	}
+	for key, start := range o.starts {
+		if start.gang && key != ended && key.run.sharesGang(ended.run) && o.isOpen(now, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// sharesGang reports whether two runs are of the same step and have the same number.
+func (r runKey) sharesGang(other runKey) bool {
+	r.task.Index = other.task.Index
+	return r == other
+}
+
 // dropExpired drops the starts that can't be executed any more.
 func (o *openStarts) dropExpired(now fulmarclock.Millis) {
 	for key, start := range o.starts {
@@ -116,9 +161,16 @@
 }
 
 func (o *openStarts) remove(key startKey) {
-	if o.starts[key].removed {
+	start := o.starts[key]
+	if start == nil {
+		return
+	}
+	if start.removed {
 		o.changed[key.executor] = true
 	}
+	if start.gang {
+		o.gangs--
+	}
 	delete(o.starts, key)
 }
 
@@ -129,10 +181,11 @@
 	Step       int    `json:"s,omitempty"`
 	Index      int    `json:"i,omitempty"`
 	Run        int64  `json:"r"`
+	Gang       bool   `json:"g,omitempty"`
 }
 
-func newOpenStartRecord(r runKey) openStartRecord {
-	return openStartRecord{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: r.task.Step, Index: r.task.Index, Run: r.run}
+func newOpenStartRecord(r runKey, gang bool) openStartRecord {
+	return openStartRecord{Job: r.task.Job, Occurrence: r.task.Occurrence, Step: r.task.Step, Index: r.task.Index, Run: r.run, Gang: gang}
 }
 
 func (r openStartRecord) key(executor string) startKey {
@@ -164,7 +217,7 @@
 	slices.SortFunc(runs, func(a, b runKey) int { return cmp.Or(compareTaskIDs(a.task, b.task), cmp.Compare(a.run, b.run)) })
 	listed := make([]openStartRecord, len(runs))
 	for i, r := range runs {
-		listed[i] = newOpenStartRecord(r)
+		listed[i] = newOpenStartRecord(r, o.starts[startKey{executor, r}].gang)
 	}
 	return encodeRecord(openStartKeyPrefix+executor, listed)
 }
@@ -176,7 +229,7 @@
 		return err
 	}
 	for _, r := range listed {
-		o.noteInherited(now, r.key(executor), true)
+		o.noteInherited(now, r.key(executor), r.Gang, true)
 	}
 	return nil
 }
--- a/internal/fulmarsched/restore.go
+++ b/internal/fulmarsched/restore.go
@@ -185,7 +185,7 @@
 	e.addTask(t)
 	t.journaled, t.inherited, t.startAnswered = true, true, record.Settled
 	if !record.Settled {
-		s.openStarts.noteInherited(s.now, t.startKey(), false)
+		s.openStarts.noteInherited(s.now, t.startKey(), t.step.Gang, false)
 	}
 	t.moving, t.movingJournaled = record.Moving, record.Moving
 }
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -30,7 +30,7 @@
 	e.fence.beginStart(s.revision, e.mayHaveRestarted(s.now))
 	t.startSentAt = s.now
 	t.startsSent++
-	s.openStarts.noteSent(s.now, t.startKey())
+	s.openStarts.noteSent(s.now, t.startKey(), t.step.Gang)
 	deadline := e.clockLowerBound(s.now) + startValidity
 	e.extendLeaseBound(s.now, deadline, s.params.MaxLease)
 	s.commands = append(s.commands, StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{
