fulmarsched: send no start to an executor that drains

Cause: the drain is looked at when a task is placed, but not when its start is sent, or sent again: sendStart checks the capacity and the quota only. A start without an answer was repeated as soon as the executor answered.

Change: sendStart withdraws the start, as for a capacity that has shrunk. A run that may be present is stopped once a report does not list it; the task runs elsewhere. Each simulation of the scheduler now checks that no start is sent to an executor that drains.

--- a/internal/fulmarsched/capacity.go
+++ b/internal/fulmarsched/capacity.go
@@ -129,9 +129,9 @@
 // a previous owner started is confirmed by the first report, which comes before any start.
 func (t *task) mayBePresent() bool { return t.startsSent > 0 || t.confirmedAt > 0 }
 
-// withdrawStart resolves a placement whose task no longer fits on its executor or in its customer's
-// quota. A run that may be
-// present is stopped, once a report after the last start does not list it.
+// withdrawStart resolves a placement whose start must not be sent, or not again: its task no longer fits on its
+// executor or in its customer's quota, or the executor drains. A run that may be present is stopped, once a
+// report after the last start does not list it.
 func (s *Scheduler) withdrawStart(t *task, reason stopReason) {
 	e := t.executor
 	switch {
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -37,7 +37,7 @@
 	}
 	switch c := c.(type) {
 	case StartCommand:
-		s.checkSentStart(c.Start)
+		s.checkSentStart(c)
 		s.executeStart(c, n, lost, respond)
 	case StopCommand:
 		e := s.executorOf(c.Target)
--- a/internal/fulmarsched/simulatedstart_test.go
+++ b/internal/fulmarsched/simulatedstart_test.go
@@ -35,10 +35,13 @@
 	}
 }
 
-// checkSentStart checks that no start is sent after an acknowledged end.
-func (s *simulation) checkSentStart(start fulmarjob.StartRequest) {
-	if s.acknowledged[start.Task] {
-		s.t.Errorf("%v at %d ms: start of run %d sent after an acknowledged end", start.Task, s.now, start.Run)
+// checkSentStart checks that no start is sent after an acknowledged end, or to an executor that drains.
+func (s *simulation) checkSentStart(c StartCommand) {
+	if s.acknowledged[c.Start.Task] {
+		s.t.Errorf("%v at %d ms: start of run %d sent after an acknowledged end", c.Start.Task, s.now, c.Start.Run)
+	}
+	if e := s.scheduler.executors[c.Target.ID]; e != nil && e.info.Draining {
+		s.t.Errorf("%v at %d ms: start of run %d sent to %s, which drains", c.Start.Task, s.now, c.Start.Run, c.Target.ID)
 	}
 }
 
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -16,6 +16,10 @@
 		s.stopRun(t, stopJobEnded)
 		return
 	}
+	if e.info.Draining {
+		s.withdrawStart(t, stopDraining)
+		return
+	}
 	if t.startAnswered {
 		s.unsettleStart(t)
 		return
--- a/internal/fulmarsched/stop.go
+++ b/internal/fulmarsched/stop.go
@@ -16,6 +16,7 @@
 	stopOtherRunDone   stopReason = "another run of its task is done"
 	stopSuspectedCopy  stopReason = "its task is suspected of a crash"
 	stopCapacityShrunk stopReason = "its executor's capacity has shrunk"
+	stopDraining       stopReason = "its executor drains before its start is confirmed"
 	stopBeyondQuota    stopReason = "its customer's quota was lowered"
 )
 
