fulmarsched: wait for no later incarnation of an executor that is gone

Cause: a start without an answer may be at a later incarnation of its executor, so its run counts as present for a lease of maximum length after the start. That the executor's entry is gone, and no incarnation has one, didn't shorten the wait, although an executor that is alive has its entry back within two seconds (PROTOCOL.md: "An entry that is still missing after that time is to be treated as gone").

Evidence: TestLastingTaskMovedToLostExecutorRunsAgainInTime fails in four of four cases without the change.

Change: once the entry of an executor that doesn't answer has been missing for 3.5 s, only the leases at its known incarnation are waited for.

All tests of the package pass, unchanged.

--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -17,6 +17,9 @@
 	// lateExecutionBound is how long after it was sent a command, any hedged attempt of it included, may
 	// be executed without a response.
 	lateExecutionBound = 13 * fulmarclock.Second
+	// entryReturnTimeout is how long the entry of an executor that is alive may be missing, with a margin
+	// for a watch that is late.
+	entryReturnTimeout = 3500 * fulmarclock.Millis(1)
 	// timelyFraction is the fraction of the timeout for acknowledgements within which one is not late.
 	timelyFraction = 0.75
 	// maxLateShare is the share of all ends that may be acknowledged late because of held ends,
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -16,6 +16,8 @@
 	info fulmarjob.Executor
 	// listed means that the store has an entry for the executor.
 	listed bool
+	// unlistedAt is when that last changed to false, or when the executor was added.
+	unlistedAt fulmarclock.Millis
 	// namedVMs are the VMs that entries of the present incarnation, or the journal, have named. Which of
 	// several it runs on is unknown.
 	namedVMs []string
@@ -116,7 +118,7 @@
 }
 
 func (s *Scheduler) newExecutor(id string) *executor {
-	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now, fence: s.newFence(), ledger: s.quotas.ledger, openStarts: s.openStarts}
+	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now, unlistedAt: s.now, fence: s.newFence(), ledger: s.quotas.ledger, openStarts: s.openStarts}
 	e.info.ID = id
 	s.executors[id] = e
 	at, _ := slices.BinarySearchFunc(s.executorList, id, compareID)
@@ -198,14 +200,20 @@
 }
 
 // leaseEnd returns a time by which the lease of a task's run has expired. A run that no report has
-// shown, or a late attempt to start it, may be at a later incarnation.
+// shown, or a late attempt to start it, may be at a later incarnation, unless that would have an entry.
 func (e *executor) leaseEnd(t *task, now fulmarclock.Millis) fulmarclock.Millis {
-	if t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
+	if e.isGone(now) || t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
 		return e.leasesEndBy
 	}
 	return max(e.leasesEndBy, e.laterLeasesEndBy)
 }
 
+// isGone reports whether no later incarnation has the executor's ID: an executor that is alive has an entry
+// again within entryReturnTimeout.
+func (e *executor) isGone(now fulmarclock.Millis) bool {
+	return !e.listed && e.failedRenewals > 0 && now > e.unlistedAt+entryReturnTimeout
+}
+
 // lastLeaseEnd returns a time by which the leases of all runs have expired.
 func (e *executor) lastLeaseEnd(now fulmarclock.Millis) fulmarclock.Millis {
 	last := e.leasesEndBy
@@ -311,7 +319,7 @@
 func (s *Scheduler) RemoveExecutor(now fulmarclock.Millis, id string) {
 	s.now = now
 	if e := s.executors[id]; e != nil && e.listed {
-		e.listed = false
+		e.listed, e.unlistedAt = false, s.now
 		s.log.Log("executor no longer listed in the store; placing no new tasks on it, but renewing its lease while it has tasks and responds", "executor", id, "tasks", len(e.tasks), "lease_ends_in_ms", e.leasesEndBy-now)
 		s.deleteIfUnused(e)
 	}
