--- a/internal/fulmarsched/finishedrun.go
+++ b/internal/fulmarsched/finishedrun.go
@@ -55,8 +55,9 @@
 		return
 	}
 	r := t.runNumbered(f.Run)
+	isSettled := !s.openStarts.isOpen(s.now, startKey{e.info.ID, runKey{f.Task, f.Run}})
 	s.log.Log("run ended", "job", f.Task.Job, "step", f.Task.Step, "index", f.Task.Index, "run", f.Run, "how", f.Outcome, "executor", e.info.ID, "attempts", t.attempts,
-		"image", t.step.Image, "took_ms", s.now-r.confirmedAt, "start_settled", !s.openStarts.isOpen(s.now, startKey{e.info.ID, runKey{f.Task, f.Run}}), "sequence", f.Sequence, "declared_ms", t.step.EstimatedDuration, "expected_ms", s.estimate(t.job, t.step))
+		"image", t.step.Image, "took_ms", s.now-r.confirmedAt, "start_settled", isSettled, "sequence", f.Sequence, "declared_ms", t.step.EstimatedDuration, "expected_ms", s.estimate(t.job, t.step))
 	isCurrent := r.state == taskPlaced && r.executor == e && r.run == f.Run
 	if isCurrent {
 		s.confirmRun(r)
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -39,11 +39,11 @@
 	changed map[string]bool
 }
 
-// openStart is a start with an attempt that has no answer yet, or none at all.
+// openStart is a start with an attempt that has no answer, yet or for good.
 type openStart struct {
 	// unsettled is the number of start commands with such an attempt.
 	unsettled int
-	// until is when the last of them has been executed at the latest.
+	// until is the time from which on none of their attempts can be executed any more.
 	until fulmarclock.Millis
 	// gang means that the run is of a member of a gang.
 	gang bool
@@ -82,8 +82,8 @@
 	return true
 }
 
-// noteRemoved records that a run is not placed on its executor any more. The journal then lists its start
-// for the executor, if it is open.
+// noteRemoved records that a run is not placed on its executor any more. While its start is open, the journal
+// lists it for the executor.
 func (o *openStarts) noteRemoved(key startKey) {
 	if start := o.starts[key]; start != nil {
 		start.removed = true
