fulmarsched, docs: log given-up ends, open starts at a new placement, unexpected runs

The log could not tell its hypotheses apart: a held end that was acknowledged all the same was only counted, a task that was placed again while a start of an earlier run was open left no line, and an unexpected run was logged without the state of its task.

Change: three log lines with the run, the executor and the time for which the start stays open; counters placed_with_open_starts and unexpected_runs (by the state of the task); held_ends_given_up has a reason. Open starts are also kept by task. No decision changes.

--- a/internal/fulmarsched/capacity.go
+++ b/internal/fulmarsched/capacity.go
@@ -36,13 +36,30 @@
 		e.strayRuns[runKey{r.Task, r.Run}] = known
 		return
 	}
-	s.log.Log("stopping unexpected run", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index, "run", r.Run, "executor", e.info.ID)
+	s.logUnexpectedRun(e, r)
 	s.commands = append(s.commands, StopCommand{Target: e.target(), Task: r.Task, Run: r.Run, Token: e.fence.token})
 	resources, found := s.reservedBy(r.Task)
 	e.addStrayRun(runKey{r.Task, r.Run}, strayRun{resources: resources, charge: s.chargeOf(r.Task), hasUnknownSize: !found, assumedUntil: sentAt, stopSentAt: s.now})
 	s.scheduleRenewal(e, s.now+minRenewalInterval)
 }
 
+// logUnexpectedRun logs and counts an unexpected run by the state of its task.
+func (s *Scheduler) logUnexpectedRun(e *executor, r fulmarjob.RunningTask) {
+	state, newerRun, newerExecutor := "its task is unknown", int64(0), ""
+	if t := s.findTask(r.Task); t != nil {
+		state, newerRun = taskStateNames[t.state], t.run
+		if t.executor != nil {
+			newerExecutor = t.executor.info.ID
+		}
+	}
+	isOpen := s.openStarts.isOpen(s.now, startKey{e.info.ID, runKey{r.Task, r.Run}})
+	s.log.Log("stopping unexpected run", "job", r.Task.Job, "step", r.Task.Step, "index", r.Task.Index, "run", r.Run, "executor", e.info.ID, "born", e.info.Incarnation, "why", state, "newer_run", newerRun, "newer_executor", newerExecutor, "start_open", isOpen, "progress", r.ProgressPercent)
+	s.log.Count("unexpected_runs", state)
+}
+
+// taskStateNames describe the states of tasks with unexpected runs, as logs and counters show them.
+var taskStateNames = map[taskState]string{taskWaiting: "its task waits", taskPlaced: "its task has another run", taskDone: "its task is done"}
+
 // keepAsStray counts the run of a task that is done and is about to be removed from its executor,
 // until the executor reports its end or no longer lists it. A start without a result may still be
 // executed.
--- a/internal/fulmarsched/heldend.go
+++ b/internal/fulmarsched/heldend.go
@@ -10,6 +10,7 @@
 // end without an acknowledgement is lost with its incarnation.
 type heldEnd struct {
 	sequence int64
+	run      runKey
 	// starts are the open starts at the time of the report: that of the run and, as the end of one member
 	// of a gang stands for all of them, those of the other members.
 	starts []startKey
@@ -42,7 +43,7 @@
 		return
 	}
 	if starts := s.openStarts.before(s.now, startKey{e.info.ID, runKey{f.Task, f.Run}}); len(starts) > 0 {
-		e.heldEnds = append(e.heldEnds, heldEnd{sequence: f.Sequence, starts: starts, readAt: s.now})
+		e.heldEnds = append(e.heldEnds, heldEnd{sequence: f.Sequence, run: runKey{f.Task, f.Run}, starts: starts, readAt: s.now})
 		s.log.Count("held_ends", string(f.Outcome))
 	}
 }
@@ -66,12 +67,23 @@
 			if !e.moreFinished && (s.now < s.lateFrom(first) || s.takeLateEnds(e)) {
 				return
 			}
-			s.log.Count("held_ends_given_up", "")
+			s.logGivenUp(e, first)
 		}
 		e.heldEnds = e.heldEnds[1:]
 	}
 }
 
+// logGivenUp logs a held end that is acknowledged although a start that must not follow it may still be executed.
+func (s *Scheduler) logGivenUp(e *executor, h heldEnd) {
+	reason := "too many others wait behind it"
+	if e.moreFinished {
+		reason = "its executor may have more finished runs than it lists"
+	}
+	start, id := h.starts[0], h.run.task
+	s.log.Log("acknowledging the end of a run although a start of its task may still be executed", "job", id.Job, "step", id.Step, "index", id.Index, "run", h.run.run, "executor", e.info.ID, "sequence", h.sequence, "why", reason, "held_ms", s.now-h.readAt, "start_executor", start.executor, "start_run", start.run.run, "open_for_ms", s.openStarts.latest(s.now, h.starts)-s.now)
+	s.log.Count("held_ends_given_up", reason)
+}
+
 // lateFrom returns from when on a held end, and those after it, count as acknowledged late.
 func (s *Scheduler) lateFrom(h heldEnd) fulmarclock.Millis {
 	return h.readAt + fulmarclock.Millis(float64(s.params.AcknowledgeTimeout)*timelyFraction)
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -33,6 +33,8 @@
 //	keys := starts.before(now, key)
 type openStarts struct {
 	starts map[startKey]*openStart
+	// ofTasks holds the keys of starts by task.
+	ofTasks map[fulmarjob.TaskID][]startKey
 	// gangs is the number of those that are of members of gangs.
 	gangs int
 	// changed are the executors whose journal record is out of date.
@@ -52,7 +54,7 @@
 }
 
 func newOpenStarts() *openStarts {
-	return &openStarts{starts: map[startKey]*openStart{}, changed: map[string]bool{}}
+	return &openStarts{starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, changed: map[string]bool{}}
 }
 
 // noteSent records that a start command is sent now. A run may have several.
@@ -99,6 +101,7 @@
 func (o *openStarts) add(key startKey, start *openStart) *openStart {
 	o.remove(key)
 	o.starts[key] = start
+	o.ofTasks[key.run.task] = append(o.ofTasks[key.run.task], key)
 	if start.gang {
 		o.gangs++
 	}
@@ -172,6 +175,27 @@
 		o.gangs--
 	}
 	delete(o.starts, key)
+	o.removeOfTask(key)
+}
+
+func (o *openStarts) removeOfTask(key startKey) {
+	others := slices.DeleteFunc(o.ofTasks[key.run.task], func(other startKey) bool { return other == key })
+	if len(others) == 0 {
+		delete(o.ofTasks, key.run.task)
+		return
+	}
+	o.ofTasks[key.run.task] = others
+}
+
+// ofTask returns the open starts of a task's runs.
+func (o *openStarts) ofTask(now fulmarclock.Millis, task fulmarjob.TaskID) []startKey {
+	var keys []startKey
+	for _, key := range o.ofTasks[task] {
+		if o.isOpen(now, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
 }
 
 // openStartRecord is an open start in the journal record of its executor.
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -268,9 +268,21 @@
 	s.isolate(e, t)
 	s.placedTasks = append(s.placedTasks, t)
 	s.markDirty(t.job)
+	s.logEarlierStarts(t)
 	s.log.Log("task placed", "job", t.id.Job, "step", t.id.Step, "index", t.id.Index, "run", run, "executor", e.info.ID, "slack_ms", t.job.rank.slack, "free_mcpu", e.freeCapacity().MilliCPU)
 }
 
+// logEarlierStarts logs the starts of earlier runs of a task that is placed again which may still be executed.
+func (s *Scheduler) logEarlierStarts(t *task) {
+	for _, start := range s.openStarts.ofTask(s.now, t.id) {
+		if start.run.run == t.run {
+			continue
+		}
+		s.log.Log("task placed although a start of an earlier run may still be executed", "job", t.id.Job, "step", t.id.Step, "index", t.id.Index, "run", t.run, "executor", t.executor.info.ID, "earlier_run", start.run.run, "earlier_executor", start.executor, "open_for_ms", s.openStarts.openUntil(s.now, start)-s.now)
+		s.log.Count("placed_with_open_starts", "")
+	}
+}
+
 // chooseExecutor returns the candidate with the highest score for a task, or nil if the task fits
 // on none.
 func chooseExecutor(t *task, members []*task, candidates []*executor) *executor {
