fulmarsched: settle a start whose other attempts are answered later

Cause: a start in several attempts counts as open for 13 s once one of them is answered, although the others are often answered a little later: then nothing of the start is under way any more.

Change: HandleStartSettled, which the owner will call when all attempts have been answered or were never sent. A settled start releases the ends that were held because of it at every executor that holds one, not only at its own (the members of a gang are on several). Nothing calls it yet.

Result: TestLastAnswerToStartReleasesHeldEnd and the other tests of held ends pass.

--- a/internal/fulmarsched/heldend.go
+++ b/internal/fulmarsched/heldend.go
@@ -43,6 +43,9 @@
 		return
 	}
 	if starts := s.openStarts.before(s.now, startKey{e.info.ID, runKey{f.Task, f.Run}}); len(starts) > 0 {
+		for _, start := range starts {
+			s.openStarts.noteHolding(start, e.info.ID)
+		}
 		e.heldEnds = append(e.heldEnds, heldEnd{sequence: f.Sequence, run: runKey{f.Task, f.Run}, starts: starts, readAt: s.now})
 		s.log.Count("held_ends", string(f.Outcome))
 	}
--- a/internal/fulmarsched/heldend_test.go
+++ b/internal/fulmarsched/heldend_test.go
@@ -163,6 +163,22 @@
 	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(1))
 }
 
+// An end must be acknowledged once the last attempt of its start is answered.
+func TestLastAnswerToStartReleasesHeldEnd(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.runUntil(1200)
+	s, key := sim.scheduler, startKey{"x-0", runKey{fulmarjob.TaskID{Job: jobID(1)}, 1}}
+	e := s.executors["x-0"]
+	s.openStarts.noteSent(sim.now, key, false)
+	s.handleFinished(e, []fulmarjob.FinishedTask{{Sequence: 1, Task: key.run.task, Run: 1, Outcome: fulmarjob.RunDone}})
+	e.acknowledged = 1
+	command := StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{Task: key.run.task, Run: 1}}
+	s.HandleStartResult(sim.now, command, 2, fulmarjob.ResultDone)
+	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(0))
+	s.HandleStartSettled(sim.now, command, fulmarjob.ResultDone)
+	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(1))
+}
+
 // A start that the journal calls settled must not be sent again before the journal has taken that back.
 func TestSettledStartIsSentAgainOnceJournaled(t *testing.T) {
 	sim := newSimulation(t, 2)
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -51,6 +51,8 @@
 	gang bool
 	// removed means that the run is not placed on the executor any more.
 	removed bool
+	// holding are the executors with ends that must not be acknowledged before the start is settled.
+	holding []string
 }
 
 func newOpenStarts() *openStarts {
@@ -67,21 +69,35 @@
 	start.until = now + lateExecutionBound
 }
 
-// noteResult records the result of a start command, and reports whether no start of the run can be executed
-// any more. The command is settled if its only attempt was answered, or never sent.
-func (o *openStarts) noteResult(key startKey, attempts int, result fulmarjob.CommandResult) bool {
+// noteResult records the result of a start command. It returns the start if none of the run can be executed any
+// more, or nil. The command is settled if its only attempt was answered, or never sent.
+func (o *openStarts) noteResult(key startKey, attempts int, result fulmarjob.CommandResult) *openStart {
+	if attempts > 1 || result == fulmarjob.ResultUnknown {
+		return nil
+	}
+	return o.noteSettled(key)
+}
+
+// noteSettled records that all attempts of a start command were answered, or never sent. It returns the start if
+// none of the run can be executed any more, or nil.
+func (o *openStarts) noteSettled(key startKey) *openStart {
 	start := o.starts[key]
 	if start == nil {
-		return false
-	}
-	if attempts == 1 && result != fulmarjob.ResultUnknown {
-		start.unsettled--
+		return nil
 	}
+	start.unsettled--
 	if start.unsettled > 0 {
-		return false
+		return nil
 	}
 	o.remove(key)
-	return true
+	return start
+}
+
+// noteHolding records that an executor has an end that must not be acknowledged before a start is settled.
+func (o *openStarts) noteHolding(key startKey, executor string) {
+	if start := o.starts[key]; start != nil && !slices.Contains(start.holding, executor) {
+		start.holding = append(start.holding, executor)
+	}
 }
 
 // noteRemoved records that a run is not placed on its executor any more. While its start is open, the journal
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -56,14 +56,13 @@
 		s.log.Log("executor answered one of several attempts of a start; another one may still be executed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", target.ID, "answer", result, "attempts", attempts)
 		s.log.Count("open_starts", result.String())
 	}
-	isSettled := s.noteStartResult(target, runKey{id, run}, attempts, result)
-	if t == nil || t.state != taskPlaced || t.run != run || t.executor.info.ID != target.ID || t.executor.info.Incarnation != target.Incarnation {
+	if settled := s.openStarts.noteResult(startKey{target.ID, runKey{id, run}}, attempts, result); settled != nil {
+		s.handleSettledStart(target, runKey{id, run}, settled, result)
+	}
+	if t == nil || !t.isPlacedAt(target, run) {
 		return
 	}
 	e := t.executor
-	if isSettled && result.IsAnswer() && result != fulmarjob.ResultFenced {
-		s.settleStart(t)
-	}
 	if result == fulmarjob.ResultDone {
 		s.handleStarted(e, t)
 		return
@@ -72,14 +71,34 @@
 	s.handleRefusedStart(e, t, c, attempts, result)
 }
 
-// noteStartResult records the result of a start, and reports whether no start of the run can be executed
-// any more. An end that was held because of it is then acknowledged.
-func (s *Scheduler) noteStartResult(target Target, run runKey, attempts int, result fulmarjob.CommandResult) bool {
-	isSettled := s.openStarts.noteResult(startKey{target.ID, run}, attempts, result)
-	if e := s.executors[target.ID]; e != nil && isSettled && len(e.heldEnds) > 0 {
-		s.scheduleAcknowledgement(e)
-	}
-	return isSettled
+// HandleStartSettled handles that the attempts of a start command which had no answer when its result was passed
+// to HandleStartResult have been answered since, or were never sent.
+func (s *Scheduler) HandleStartSettled(now fulmarclock.Millis, c StartCommand, result fulmarjob.CommandResult) {
+	s.now = now
+	run := runKey{c.Start.Task, c.Start.Run}
+	s.log.Count("settled_starts", result.String())
+	if settled := s.openStarts.noteSettled(startKey{c.Target.ID, run}); settled != nil {
+		s.handleSettledStart(c.Target, run, settled, result)
+	}
+}
+
+// handleSettledStart handles that no start of a run can be executed any more. The ends that were held because of it
+// are then acknowledged.
+func (s *Scheduler) handleSettledStart(target Target, run runKey, settled *openStart, result fulmarjob.CommandResult) {
+	for _, id := range settled.holding {
+		if e := s.executors[id]; e != nil {
+			s.scheduleAcknowledgement(e)
+		}
+	}
+	t := s.findRun(run.task, run.run)
+	if t != nil && t.isPlacedAt(target, run.run) && result.IsAnswer() && result != fulmarjob.ResultFenced {
+		s.settleStart(t)
+	}
+}
+
+// isPlacedAt reports whether the task is placed with a run on an executor incarnation.
+func (t *task) isPlacedAt(target Target, run int64) bool {
+	return t.state == taskPlaced && t.run == run && t.executor.info.ID == target.ID && t.executor.info.Incarnation == target.Incarnation
 }
 
 // settleStart records that the executor has answered the start of a task's run and no attempt of it can be
@@ -183,7 +202,7 @@
 func (s *Scheduler) HandleStopResult(now fulmarclock.Millis, target Target, id fulmarjob.TaskID, run int64, result fulmarjob.CommandResult) {
 	s.now = now
 	t := s.findRun(id, run)
-	if t == nil || t.state != taskPlaced || t.run != run || t.executor.info.ID != target.ID || t.executor.info.Incarnation != target.Incarnation {
+	if t == nil || !t.isPlacedAt(target, run) {
 		return
 	}
 	if result == fulmarjob.ResultDone || result == fulmarjob.ResultStaleRun {
