fulmarsched: a new incarnation always gets a higher fencing token

Cause: the token of an executor's commands was the revision of the newest append. An executor that restarted while nothing was appended kept its token, so that a command for the incarnation before was not refused by the one that had already answered: an equal token passes.

Change: each revision has 1,024 tokens. A new incarnation gets the next one, still below those of any later owner.

Result: TestTokenRisesWithEachIncarnation failed before (the late start was executed) and passes.

--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -22,33 +22,41 @@
 	token  int64
 }
 
+// tokensPerRevision is the number of fencing tokens for each revision of the journal.
+const tokensPerRevision = 1 << 10
+
+// firstToken returns the lowest token for a revision, above all of an earlier one.
+func firstToken(revision int64) int64 { return revision * tokensPerRevision }
+
 // newFence returns the fence of an executor that is met for the first time, or again after it was
 // deleted.
 func (s *Scheduler) newFence() fence {
-	return fence{token: s.revision, floor: s.deletedToken}
+	return fence{token: max(firstToken(s.revision), s.deletedToken), floor: s.deletedToken}
 }
 
-// raise gives the commands a higher token if the journal was appended to since the present one was
-// chosen: the revision of the newest append. It is below the token of any later owner, which is the
-// revision of a later change.
-func (f *fence) raise(revision int64) { f.token = max(f.token, revision) }
+// raise gives the commands a token above a lower bound: the first one for the revision of the newest append
+// to the journal, or the next one. All of them are below those of any later owner, which has the revision of a
+// later change.
+func (f *fence) raise(revision, above int64) {
+	last := firstToken(revision+1) - 1
+	f.token = max(f.token, firstToken(revision), min(above+1, last))
+}
 
-// beginIncarnation chooses the token for a new incarnation, which must not execute commands for earlier
-// ones.
+// beginIncarnation chooses a higher token for a new incarnation, which must not execute commands for earlier
+// ones once it has executed one of its own.
 func (f *fence) beginIncarnation(revision int64) {
 	f.floor, f.accepted, f.open = max(f.floor, f.token), false, openAcknowledgement{}
-	f.raise(revision)
+	f.raise(revision, f.floor)
 }
 
-// beginStart raises the token if the start that is sent next needs that. The append of its placement
-// has made a higher one available. mayBeLater means that a later incarnation may execute the start; the
+// beginStart raises the token if the start that is sent next needs that. mayBeLater means that a later incarnation may execute the start; the
 // open acknowledgement may then follow it.
 func (f *fence) beginStart(revision int64, mayBeLater bool) {
 	if f.open.number > 0 && mayBeLater {
 		f.floor = max(f.floor, f.open.token)
 	}
 	if f.token <= f.floor {
-		f.raise(revision)
+		f.raise(revision, f.floor)
 	}
 }
 
--- a/internal/fulmarsched/lateacknowledgement_test.go
+++ b/internal/fulmarsched/lateacknowledgement_test.go
@@ -99,6 +99,22 @@
 	quicktest.Check(t, e.start(late), quicktest.Equals, fulmarjob.ResultFenced)
 }
 
+// An incarnation that has executed a command must refuse those for the one before, though the journal had no append.
+func TestTokenRisesWithEachIncarnation(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.jobs[jobID(1)] = fulmarjob.Specification{Steps: []fulmarjob.Step{step(1)}}
+	sim.runUntil(1200)
+	e := sim.executors[0]
+	for range 3 {
+		late, revision := fulmarjob.StartRequest{Task: fulmarjob.TaskID{Job: jobID(1)}, Run: 1, Deadline: 1 << 40, Token: sim.scheduler.executors["x-0"].fence.token}, sim.revision
+		e.crash()
+		e.restart()
+		sim.runUntil(sim.now + 100)
+		quicktest.Assert(t, sim.revision, quicktest.Equals, revision)
+		quicktest.Check(t, e.start(late), quicktest.Equals, fulmarjob.ResultFenced)
+	}
+}
+
 // Each later owner's first token must be above every token of an earlier one.
 func TestRaisedTokenStaysBelowThoseOfLaterOwners(t *testing.T) {
 	sim := newSimulation(t, 1)
@@ -153,7 +169,7 @@
 	s.Committed(sim.now, s.Plan(sim.now, sim.unixMillis(), nil), sim.revision)
 	first := startsAmong(s.TakeCommands())
 	quicktest.Assert(t, first, quicktest.HasLen, 1)
-	s.executors["x-0"].fence.raise(first[0].Start.Token + 1)
+	s.executors["x-0"].fence.raise(s.revision, first[0].Start.Token)
 	s.HandleStartResult(sim.now, first[0], 1, fulmarjob.ResultFenced)
 	again := startsAmong(s.TakeCommands())
 	quicktest.Assert(t, again, quicktest.HasLen, 1)
