fulmarsched: hold the end of a run back while a start of any run of its task is open

Cause: a run had no answer to its start, its executor restarted and confirmed a stop to the next incarnation, and the task was done elsewhere. The end waited for the starts of its own run only, was acknowledged, and the older start was executed by the second incarnation after the one that had answered.

Change: an end waits for the open starts of all runs of its task, for gangs of all members of its step.

The fix works because an end that is not acknowledged is lost with its incarnation, or waits until no start can be executed.

--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -146,28 +146,25 @@
 	return until
 }
 
-// before returns the open starts that must not be executed after the end of a run: its own, and those of the
-// other members of a gang, which share its number.
+// before returns the open starts that must not be executed after the end of a run: those of all runs of its task,
+// and those of the other members of a gang, for which it stands.
 func (o *openStarts) before(now fulmarclock.Millis, ended startKey) []startKey {
-	var keys []startKey
-	if o.isOpen(now, ended) {
-		keys = append(keys, ended)
-	}
+	keys := o.ofTask(now, ended.run.task)
 	if o.gangs == 0 {
 		return keys
 	}
 	for key, start := range o.starts {
-		if start.gang && key != ended && key.run.sharesGang(ended.run) && o.isOpen(now, key) {
+		if start.gang && key.run.task != ended.run.task && sharesStep(key.run.task, ended.run.task) && o.isOpen(now, key) {
 			keys = append(keys, key)
 		}
 	}
 	return keys
 }
 
-// sharesGang reports whether two runs are of the same step and have the same number.
-func (r runKey) sharesGang(other runKey) bool {
-	r.task.Index = other.task.Index
-	return r == other
+// sharesStep reports whether two tasks are of the same step of an occurrence.
+func sharesStep(a, b fulmarjob.TaskID) bool {
+	a.Index = b.Index
+	return a == b
 }
 
 // dropExpired drops the starts that can't be executed any more.
