fulmarsched: place a task beside no start of an earlier run

Cause: a placement ends once the present incarnation of its executor has confirmed a stop, has refused the start, or has restarted. That binds this incarnation alone: an attempt of the start without an answer is executed by the next one, up to 13 s after it was sent, beside the newer run.

Change: while a start of an earlier run may still be executed, a task is placed only on the executor of that start. It has one incarnation at a time, and one that has answered refuses earlier starts by its token, so the two runs can't be present together. A task with a run that is still present unexpectedly anywhere waits for its end. The starts at an executor that has ended for good (retired, or gone by its entry) are dropped. Explanations name the reason: earlier-start.

Evidence: TestLateStartOfOlderRunNeitherJoinsNorFollowsNewerRun with runs of 9 s: 4 of 4 cases failed before ("run 3 started on x-1 while run 1 is on x-0"), all pass. The number of reasons in TestExclusionReasonsAreListed is 15, as there is a new one. All other tests of the package pass.

--- a/internal/fulmarsched/capacity.go
+++ b/internal/fulmarsched/capacity.go
@@ -95,6 +95,9 @@
 	if e.strayRuns == nil {
 		e.strayRuns = map[runKey]strayRun{}
 	}
+	if _, found := e.strayRuns[k]; !found {
+		e.openStarts.noteStray(k.task, 1)
+	}
 	e.releaseQuota(e.strayRuns[k].charge)
 	e.strayRuns[k] = r
 	e.reserveQuota(r.charge)
--- a/internal/fulmarsched/explain_test.go
+++ b/internal/fulmarsched/explain_test.go
@@ -107,6 +107,9 @@
 		{fulmarapi.ExcludedIsolated, step(1), func(_ *Scheduler, e *executor) { e.isolatedFor = trial{isLasting: true} }},
 		{fulmarapi.ExcludedLabel, labelled, func(*Scheduler, *executor) {}},
 		{fulmarapi.ExcludedLimit, limited, nil},
+		{fulmarapi.ExcludedEarlierStart, step(1), func(s *Scheduler, _ *executor) {
+			s.openStarts.noteSent(s.now, startKey{"other", runKey{fulmarjob.TaskID{Job: jobID(4711)}, 2}}, false)
+		}},
 		{fulmarapi.ExcludedCapacity, step(1), func(_ *Scheduler, e *executor) { e.used.MilliCPU = 3500 }},
 	} {
 		t.Run(string(row.reason), func(t *testing.T) {
@@ -138,7 +141,7 @@
 func TestExclusionReasonsAreListed(t *testing.T) {
 	seen := slices.Compact(slices.Sorted(slices.Values(fulmarapi.ExclusionReasons)))
 	quicktest.Assert(t, len(seen), quicktest.Equals, len(fulmarapi.ExclusionReasons))
-	quicktest.Assert(t, len(seen), quicktest.Equals, 14)
+	quicktest.Assert(t, len(seen), quicktest.Equals, 15)
 }
 
 // TestExplainFullPool fills a pool: a new job waits for the work before it, or is refused.
--- a/internal/fulmarsched/explainstep.go
+++ b/internal/fulmarsched/explainstep.go
@@ -132,6 +132,8 @@
 		return fulmarapi.ExcludedLabel
 	case t.step.MaxPerExecutor > 0 && countOn(e, p.members) >= t.step.MaxPerExecutor:
 		return fulmarapi.ExcludedLimit
+	case !e.permitsRunOf(t):
+		return fulmarapi.ExcludedEarlierStart
 	}
 	return ""
 }
--- a/internal/fulmarsched/incarnation.go
+++ b/internal/fulmarsched/incarnation.go
@@ -23,6 +23,7 @@
 	for _, t := range sortedTasks(e) {
 		s.endPlacement(t, reason)
 	}
+	s.openStarts.dropExecutor(e.info.ID)
 }
 
 // retireIncarnation retires an executor whose incarnation was ended by a command for its VM. It
--- a/internal/fulmarsched/olderstart_test.go
+++ b/internal/fulmarsched/olderstart_test.go
@@ -10,10 +10,11 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
-// A late start of a run that a newer one has replaced must not follow the newer one's acknowledged end.
+// A late start of a run that a newer one has replaced must not be executed beside the newer one, or after its
+// acknowledged end.
 func TestLateStartOfOlderRunNeitherJoinsNorFollowsNewerRun(t *testing.T) {
 	for _, o := range openStartCases {
-		for _, duration := range []fulmarclock.Millis{300} {
+		for _, duration := range []fulmarclock.Millis{300, 9000} {
 			for _, ownerChanges := range []int{0, 1} {
 				t.Run(fmt.Sprintf("%s/runs of %d ms/%d changes of the owner", o.name, duration, ownerChanges), func(t *testing.T) {
 					sim := newSimulation(t, 2)
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -35,6 +35,8 @@
 	starts map[startKey]*openStart
 	// ofTasks holds the keys of starts by task.
 	ofTasks map[fulmarjob.TaskID][]startKey
+	// strays is the number of stray runs by task.
+	strays map[fulmarjob.TaskID]int
 	// gangs is the number of those that are of members of gangs.
 	gangs int
 	// changed are the executors whose journal record is out of date.
@@ -56,7 +58,7 @@
 }
 
 func newOpenStarts() *openStarts {
-	return &openStarts{starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, changed: map[string]bool{}}
+	return &openStarts{starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{}}
 }
 
 // noteSent records that a start command is sent now. A run may have several.
@@ -167,6 +169,38 @@
 	return a == b
 }
 
+// permits reports whether a new run of a task may be placed on an executor: no earlier one may be present anywhere.
+// While a start of an earlier run may still be executed, only its executor may have the new run: it has one
+// incarnation at a time, and one that has answered refuses earlier starts, so the two can't be present together.
+func (o *openStarts) permits(task fulmarjob.TaskID, executor string) bool {
+	if o.strays[task] > 0 {
+		return false
+	}
+	for _, key := range o.ofTasks[task] {
+		if key.executor != executor {
+			return false
+		}
+	}
+	return true
+}
+
+// noteStray adds to the number of a task's stray runs.
+func (o *openStarts) noteStray(task fulmarjob.TaskID, change int) {
+	o.strays[task] += change
+	if o.strays[task] <= 0 {
+		delete(o.strays, task)
+	}
+}
+
+// dropExecutor drops the starts at an executor that has ended for good: no later incarnation can execute them.
+func (o *openStarts) dropExecutor(executor string) {
+	for key := range o.starts {
+		if key.executor == executor {
+			o.remove(key)
+		}
+	}
+}
+
 // dropExpired drops the starts that can't be executed any more.
 func (o *openStarts) dropExpired(now fulmarclock.Millis) {
 	for key, start := range o.starts {
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -303,8 +303,8 @@
 	return best
 }
 
-// fits reports whether an executor has the capacity and the label for a task, and the step's limit
-// on tasks per executor and the executor's reservation permit it.
+// fits reports whether an executor has the capacity and the label for a task, and the step's limit on tasks per
+// executor, the executor's reservation and the starts of earlier runs permit it.
 func fits(e *executor, t *task, members []*task) bool {
 	if !t.step.Reserved().FitsIn(e.freeCapacity()) || !e.info.HasLabel(t.step.Label) || !e.permits(t) {
 		return false
@@ -312,7 +312,13 @@
 	if t.step.MaxPerExecutor > 0 && countOn(e, members) >= t.step.MaxPerExecutor {
 		return false
 	}
-	return e.keepsReservation(t)
+	return e.keepsReservation(t) && e.permitsRunOf(t)
+}
+
+// permitsRunOf reports whether no start of an earlier run of the task may still be executed elsewhere. Copies run
+// beside another run anyway.
+func (e *executor) permitsRunOf(t *task) bool {
+	return t.step.Speculative || e.openStarts.permits(t.id, e.info.ID)
 }
 
 // countOn returns how many of the tasks are placed on the executor.
--- a/internal/fulmarsched/placement.go
+++ b/internal/fulmarsched/placement.go
@@ -74,6 +74,9 @@
 	for _, t := range expired {
 		s.endPlacement(t, "the lease of its executor has expired")
 	}
+	if e.isGone(s.now) {
+		s.openStarts.dropExecutor(e.info.ID)
+	}
 }
 
 // retryCommand sends the stop of a moving task whose move the journal holds, once its step permits it:
--- a/internal/fulmarsched/quota.go
+++ b/internal/fulmarsched/quota.go
@@ -94,7 +94,12 @@
 
 // dropStrayRun deletes a stray run that is certainly not present.
 func (e *executor) dropStrayRun(k runKey) {
-	e.releaseQuota(e.strayRuns[k].charge)
+	r, found := e.strayRuns[k]
+	if !found {
+		return
+	}
+	e.openStarts.noteStray(k.task, -1)
+	e.releaseQuota(r.charge)
 	delete(e.strayRuns, k)
 }
 
--- a/pkg/fulmarapi/explanation.go
+++ b/pkg/fulmarapi/explanation.go
@@ -155,8 +155,11 @@
 	ExcludedIsolated ExclusionReason = "isolated"
 	ExcludedLabel    ExclusionReason = "label"
 	// ExcludedLimit means that the step's limit of tasks per executor is reached.
-	ExcludedLimit    ExclusionReason = "limit-per-executor"
-	ExcludedCapacity ExclusionReason = "capacity"
+	ExcludedLimit ExclusionReason = "limit-per-executor"
+	// ExcludedEarlierStart means that the start of an earlier run of the task may still be executed on another
+	// executor.
+	ExcludedEarlierStart ExclusionReason = "earlier-start"
+	ExcludedCapacity     ExclusionReason = "capacity"
 	// ExcludedReserved means that the task would delay the reservation of another one.
 	ExcludedReserved ExclusionReason = "reservation"
 	// ExcludedNeedsAdvice means that there is no valid ticket of the placement advisor.
@@ -168,7 +171,8 @@
 // ExclusionReasons lists all reasons, in the order in which they are checked.
 var ExclusionReasons = []ExclusionReason{
 	ExcludedUnlisted, ExcludedReplaced, ExcludedDraining, ExcludedCordoned, ExcludedUnresponsive, ExcludedUnconfirmed,
-	ExcludedAfterFailure, ExcludedIsolated, ExcludedLabel, ExcludedLimit, ExcludedCapacity, ExcludedReserved,
+	ExcludedAfterFailure, ExcludedIsolated, ExcludedLabel, ExcludedLimit, ExcludedEarlierStart,
+	ExcludedCapacity, ExcludedReserved,
 	ExcludedNeedsAdvice, ExcludedByAdvisor,
 }
 
