fulmarsched: tests of starts that are executed late, beyond those that are mended

Change: nine tests of lost attempts that a later incarnation executes, with the build tag knownred. Their executors have been up for long, so that a deadline on the clock of one incarnation is far ahead on that of the next one.

--- /dev/null
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -0,0 +1,306 @@
+//go:build knownred
+
+package fulmarsched
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+)
+
+// lostAttempt is an attempt of a start that has no answer. The test decides when it is executed.
+type lostAttempt struct {
+	command StartCommand
+	sentAt  fulmarclock.Millis
+	target  *fakeExecutor
+}
+
+// newOldSimulation returns a simulation whose executors have been up for long, so that a deadline on the clock of one
+// is far ahead on that of the next incarnation.
+func newOldSimulation(t *testing.T, executors int) *simulation {
+	sim := newSimulation(t, executors)
+	for _, e := range sim.executors {
+		e.startedAt -= 1000 * fulmarclock.Second
+	}
+	sim.runUntil(1200)
+	return sim
+}
+
+// loseAttempt submits a job and loses the first attempt of its start.
+func (s *simulation) loseAttempt(id string, steps ...fulmarjob.Step) lostAttempt {
+	return s.captureAttempt(id, steps, s.loseNextResult)
+}
+
+// repeatAttempt submits a job and loses one attempt of its start, of which another one is answered.
+func (s *simulation) repeatAttempt(id string, steps ...fulmarjob.Step) lostAttempt {
+	return s.captureAttempt(id, steps, func(matches func(Command) bool) { s.repeatsNext = matches })
+}
+
+func (s *simulation) captureAttempt(id string, steps []fulmarjob.Step, capture func(matches func(Command) bool)) lostAttempt {
+	s.t.Helper()
+	var lost lostAttempt
+	s.commandDelay = func(int) fulmarclock.Millis { return 1 << 40 }
+	capture(func(c Command) bool {
+		start, found := c.(StartCommand)
+		if !found || start.Start.Task.Job != id {
+			return false
+		}
+		lost = lostAttempt{command: start, sentAt: s.now, target: s.executorOf(start.Target)}
+		return true
+	})
+	s.submit(id, steps...)
+	s.waitFor(s.now+3000, "the start is sent", func() bool { return lost.target != nil })
+	return lost
+}
+
+// arrive has the executor execute the attempt now.
+func (a lostAttempt) arrive() fulmarjob.CommandResult { return a.target.start(a.command.Start) }
+
+// latestArrival is the last time at which the attempt may be executed.
+func (a lostAttempt) latestArrival() fulmarclock.Millis {
+	return a.sentAt + lateExecutionBound - 2*simulationStep
+}
+
+// restartHidden starts a new incarnation that the owner does not reach for some time.
+func (e *fakeExecutor) restartHidden() {
+	e.crash()
+	e.restartUnlisted(1 << 40)
+	e.unresponsive = true
+}
+
+// checkRunsOnce fails the test unless the job is completed and no task runs then.
+func (s *simulation) checkRunsOnce() {
+	for _, e := range s.executors {
+		e.unresponsive = false
+	}
+	s.waitFor(s.now+120_000, "the jobs are completed", s.allCompleted)
+}
+
+// A run that a late start has begun on an incarnation out of reach must have lost its lease before its task runs elsewhere.
+func TestRunOnIncarnationOutOfReachIsNotRepeatedElsewhere(t *testing.T) {
+	for _, lateBy := range []fulmarclock.Millis{1000, 6000, lateExecutionBound - 2*simulationStep} {
+		for _, ownerChanges := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%d ms late/%d changes of the owner", lateBy, ownerChanges), func(t *testing.T) {
+				sim := newOldSimulation(t, 2)
+				sim.runsTake(20000)
+				lost := sim.loseAttempt(jobID(1), step(1))
+				lost.target.restartHidden()
+				sim.changeOwner(ownerChanges)
+				sim.runUntil(lost.sentAt + lateBy)
+				quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+				sim.runUntil(sim.now + 30000)
+				sim.checkRunsOnce()
+			})
+		}
+	}
+}
+
+// As before, for the other attempt of a start that was answered and whose run was reported.
+func TestRepeatedRunOnIncarnationOutOfReachIsNotRepeatedElsewhere(t *testing.T) {
+	for _, lateBy := range []fulmarclock.Millis{1500, 6000, lateExecutionBound - 2*simulationStep} {
+		for _, ownerChanges := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%d ms late/%d changes of the owner", lateBy, ownerChanges), func(t *testing.T) {
+				sim := newOldSimulation(t, 2)
+				sim.runsTake(20000)
+				lost := sim.repeatAttempt(jobID(1), step(1))
+				sim.changeOwner(ownerChanges)
+				sim.runUntil(lost.sentAt + 1000)
+				lost.target.restartHidden()
+				sim.runUntil(lost.sentAt + lateBy)
+				quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+				sim.runUntil(sim.now + 30000)
+				sim.checkRunsOnce()
+			})
+		}
+	}
+}
+
+// A start that is executed just before it can't be any more must not run beside one sent just afterwards.
+func TestTaskIsNotPlacedElsewhereBeforeLateRunCanBeReported(t *testing.T) {
+	sim := newOldSimulation(t, 2)
+	sim.runsTake(20000)
+	lost := sim.loseAttempt(jobID(1), step(1))
+	e := lost.target
+	full := e.info.Capacity
+	e.crash()
+	e.info.Capacity = fulmarjob.Resources{}
+	e.restart()
+	sim.runUntil(lost.latestArrival() - 500)
+	quicktest.Assert(t, sim.runs, quicktest.HasLen, 0)
+	e.crash()
+	e.info.Capacity = full
+	e.restartUnlisted(1000)
+	sim.runUntil(lost.latestArrival())
+	quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+	sim.runUntil(sim.now + 5000)
+	sim.checkRunsOnce()
+}
+
+// A later run must not be started beside an earlier one that a late start has begun on an incarnation not known yet.
+func TestLaterRunDoesNotJoinEarlierOneOnUnknownIncarnation(t *testing.T) {
+	for _, downtime := range []fulmarclock.Millis{20, 50} {
+		t.Run(fmt.Sprintf("down for %d ms", downtime), func(t *testing.T) {
+			sim := newOldSimulation(t, 2)
+			sim.runsTake(3000)
+			lost := sim.loseAttempt(jobID(1), step(1))
+			e := lost.target
+			e.crash()
+			e.restart()
+			sim.appendDelay = func() fulmarclock.Millis { return 200 }
+			task := sim.scheduler.findTask(lost.command.Start.Task)
+			sim.waitFor(sim.now+5000, "a later run is placed", func() bool { return task.state == taskPlaced && task.run == 2 && sim.batch != nil })
+			sim.runUntil(sim.commitAt - downtime - simulationStep)
+			e.crash()
+			sim.at(sim.now+downtime, func() {
+				e.restartUnlisted(1 << 40)
+				lost.arrive()
+			})
+			sim.runUntil(sim.now + 5000)
+			e.list()
+			sim.checkRunsOnce()
+		})
+	}
+}
+
+// A start must not be executed beside a newer run once its executor is back after a long time without an entry.
+func TestStartOutlivesLongAbsenceOfExecutor(t *testing.T) {
+	sim := newOldSimulation(t, 2)
+	sim.runsTake(20000)
+	lost := sim.loseAttempt(jobID(1), step(1))
+	sim.lose(lost.target, silenceTimeout)
+	sim.runUntil(lost.sentAt + 10000)
+	lost.target.restartUnlisted(1000)
+	lost.arrive()
+	sim.runUntil(sim.now + 20000)
+	sim.checkRunsOnce()
+}
+
+// An acknowledgement that arrives after a restart must not delete the end of a run that a late start has begun there.
+func TestAcknowledgementDeletesNoEndOfLateRun(t *testing.T) {
+	for _, arrivesAfter := range []fulmarclock.Millis{300, 600} {
+		t.Run(fmt.Sprintf("%d ms after the restart", arrivesAfter), func(t *testing.T) {
+			sim := newOldSimulation(t, 1)
+			sim.runBehavior = func(id fulmarjob.TaskID, _ int64, e *fakeExecutor) (fulmarclock.Millis, bool) {
+				if id.Job == jobID(1) && e.clock() > 10000 {
+					return 5000, false
+				}
+				return 100, false
+			}
+			lost := sim.repeatAttempt(jobID(1), step(1))
+			e := lost.target
+			sim.runUntil(sim.now + 500)
+			var acknowledgement RenewCommand
+			sim.loseNextResult(func(c Command) bool {
+				if isAcknowledgement(c) {
+					acknowledgement = c.(RenewCommand)
+				}
+				return isAcknowledgement(c)
+			})
+			sim.submit(jobID(2), step(1))
+			sim.waitFor(sim.now+2000, "an acknowledgement is sent", func() bool { return acknowledgement.Acknowledged > 0 })
+			e.restartHidden()
+			sim.runUntil(sim.now + 50)
+			quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+			sim.runUntil(sim.now + arrivesAfter)
+			e.renewLease(acknowledgement)
+			e.unresponsive = false
+			e.list()
+			sim.checkRunsOnce()
+		})
+	}
+}
+
+// A late result of a start must not settle a later command of the same run.
+func TestResultOfForgottenStartSettlesNoLaterOne(t *testing.T) {
+	starts, key := newOpenStarts(), startKey{"x-0", runKey{fulmarjob.TaskID{Job: jobID(1)}, 1}}
+	starts.noteSent(0, key, false)
+	starts.dropExpired(lateExecutionBound)
+	starts.noteSent(lateExecutionBound, key, false)
+	quicktest.Check(t, starts.noteSettled(key), quicktest.IsNil)
+	quicktest.Check(t, starts.isOpen(lateExecutionBound+1, key), quicktest.IsTrue)
+}
+
+// A lasting task whose executor drains must be moved in time, though an attempt of its start is open.
+func TestLastingTaskWithOpenStartIsMovedInTime(t *testing.T) {
+	sim := newOldSimulation(t, 2)
+	sim.runBehavior = runsForever
+	lost := sim.repeatAttempt(jobID(1), longRunningStep(1, 1))
+	sim.runUntil(sim.now + 1000)
+	lost.target.drain()
+	sim.waitFor(sim.now+4000, "the task runs elsewhere", func() bool { return len(sim.runs) == 2 })
+}
+
+// Ends must not be acknowledged while a start may follow them, however many there are.
+func TestLateStartFollowsNoAcknowledgedEndUnderLoad(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		tasks  int
+		listed int
+	}{{"many held ends", 60, 500}, {"few listed ends", 4, 3}} {
+		t.Run(row.name, func(t *testing.T) {
+			sim := newOldSimulation(t, 2)
+			sim.maxListedFinished = row.listed
+			for _, e := range sim.executors {
+				e.info.Capacity = roomFor(100)
+				e.list()
+			}
+			var lost []lostAttempt
+			sim.commandDelay = func(int) fulmarclock.Millis { return 1 << 40 }
+			sim.check = func() {
+				sim.repeatsNext = func(c Command) bool {
+					start, found := c.(StartCommand)
+					if found {
+						lost = append(lost, lostAttempt{command: start, sentAt: sim.now, target: sim.executorOf(start.Target)})
+					}
+					return found
+				}
+			}
+			for i := range row.tasks {
+				sim.submit(jobID(i), step(1))
+				sim.runUntil(sim.now + 30)
+			}
+			sim.waitFor(sim.now+10000, "the jobs are completed", sim.allCompleted)
+			sim.runUntil(sim.now + 5000)
+			for _, e := range sim.executors {
+				e.crash()
+				e.restartUnlisted(1000)
+			}
+			for _, a := range lost {
+				if sim.now < a.latestArrival() {
+					a.arrive()
+				}
+			}
+			sim.runUntil(sim.now + 5000)
+		})
+	}
+}
+
+// A refused start of a run that a previous owner may have started must not let the run join a later one.
+func TestRefusedStartOfInheritedRunIsFollowedByNoSecondRun(t *testing.T) {
+	for _, result := range []fulmarjob.CommandResult{fulmarjob.ResultDeadlineExceeded, fulmarjob.ResultNoCapacity, fulmarjob.ResultUnhealthy, fulmarjob.ResultOtherIncarnation} {
+		t.Run(result.String(), func(t *testing.T) {
+			sim := newOldSimulation(t, 2)
+			sim.runsTake(8000)
+			lost := sim.loseAttempt(jobID(1), step(1))
+			sim.newOwner()
+			sim.scheduler.commands = nil
+			var again StartCommand
+			sim.loseNextResult(func(c Command) bool {
+				start, found := c.(StartCommand)
+				again = start
+				return found
+			})
+			sim.waitFor(sim.now+3000, "the start is sent again", func() bool { return again.Start.Run > 0 })
+			sim.scheduler.HandleStartResult(sim.now, again, 1, result)
+			lost.target.crash()
+			lost.target.restartUnlisted(500)
+			lost.arrive()
+			sim.runUntil(sim.now + 20000)
+			sim.checkRunsOnce()
+		})
+	}
+}
