fulmarsched: restart the executor of a refused start in 20 ms, not at once

Cause: TestRefusedStartOfInheritedRunIsFollowedByNoSecondRun restarted it in no time, which no executor does.

--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -297,8 +297,10 @@
 			sim.waitFor(sim.now+3000, "the start is sent again", func() bool { return again.Start.Run > 0 })
 			sim.scheduler.HandleStartResult(sim.now, again, 1, result)
 			lost.target.crash()
-			lost.target.restartUnlisted(500)
-			lost.arrive()
+			sim.at(sim.now+20, func() {
+				lost.target.restartUnlisted(500)
+				lost.arrive()
+			})
 			sim.runUntil(sim.now + 20000)
 			sim.checkRunsOnce()
 		})
