--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -306,3 +306,31 @@
 		})
 	}
 }
+
+// A run that an answered late start has begun must be reported before its task is placed elsewhere.
+func TestRunOfStartThatIsAnsweredLateIsNotRepeatedElsewhere(t *testing.T) {
+	for _, ownerKnows := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the owner knows the incarnation %v", ownerKnows), func(t *testing.T) {
+			sim := newOldSimulation(t, 2)
+			sim.runsTake(5000)
+			lost := sim.loseAttempt(jobID(1), step(1))
+			e := lost.target
+			full := e.info.Capacity
+			e.crash()
+			e.info.Capacity = fulmarjob.Resources{}
+			e.restart()
+			sim.runUntil(sim.now + 3000)
+			quicktest.Assert(t, sim.runs, quicktest.HasLen, 0)
+			e.crash()
+			e.info.Capacity = full
+			e.restartUnlisted(1000)
+			if ownerKnows {
+				e.list()
+			}
+			quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+			sim.scheduler.HandleStartSettled(sim.now, lost.command, fulmarjob.ResultDone)
+			sim.runUntil(sim.now + 5000)
+			sim.checkRunsOnce()
+		})
+	}
+}
