fulmarsched, fulmarowner: compare fencing tokens to executors with their revision

Change: FirstToken is exported, and both tests compare with it: as strict as before, in the new unit.

--- a/internal/fulmarowner/term_test.go
+++ b/internal/fulmarowner/term_test.go
@@ -92,7 +92,7 @@
 		h.c.Assert(first.do(context.Background(), Request{Kind: State, Job: jobA}).Outcome, quicktest.Equals, NotOwner)
 	}
 	for _, c := range h.executors.received()[commands:] {
-		h.c.Check(c.token > first.ownership.Token(), quicktest.IsTrue, quicktest.Commentf("%+v", c))
+		h.c.Check(c.token >= fulmarsched.FirstToken(first.ownership.Token()+1), quicktest.IsTrue, quicktest.Commentf("%+v", c))
 	}
 }
 
@@ -177,7 +177,7 @@
 		h.c.Check(c.token >= last, quicktest.IsTrue, quicktest.Commentf("%+v after token %d", c, last))
 		last = c.token
 	}
-	h.c.Assert(last, quicktest.Equals, second.ownership.Token())
+	h.c.Assert(last, quicktest.Equals, fulmarsched.FirstToken(second.ownership.Token()))
 }
 
 // slowEvent stands for work that keeps the scheduler busy for a time.
--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -25,21 +25,21 @@
 // tokensPerRevision is the number of fencing tokens for each revision of the journal.
 const tokensPerRevision = 1 << 10
 
-// firstToken returns the lowest token for a revision, above all of an earlier one.
-func firstToken(revision int64) int64 { return revision * tokensPerRevision }
+// FirstToken returns the lowest fencing token to executors for a revision of the journal, above all of an earlier one.
+func FirstToken(revision int64) int64 { return revision * tokensPerRevision }
 
 // newFence returns the fence of an executor that is met for the first time, or again after it was
 // deleted.
 func (s *Scheduler) newFence() fence {
-	return fence{token: max(firstToken(s.revision), s.deletedToken), floor: s.deletedToken}
+	return fence{token: max(FirstToken(s.revision), s.deletedToken), floor: s.deletedToken}
 }
 
 // raise gives the commands a token above a lower bound: the first one for the revision of the newest append
 // to the journal, or the next one. All of them are below those of any later owner, which has the revision of a
 // later change.
 func (f *fence) raise(revision, above int64) {
-	last := firstToken(revision+1) - 1
-	f.token = max(f.token, firstToken(revision), min(above+1, last))
+	last := FirstToken(revision+1) - 1
+	f.token = max(f.token, FirstToken(revision), min(above+1, last))
 }
 
 // beginIncarnation chooses a higher token for a new incarnation, which must not execute commands for earlier
