fulmarsched: place a task again once no earlier run can be started or present

Cause: bound the newer run to the executor of the open start. An executor that restarts in series may have executed the older start before the newer one arrives. An open start was also forgotten 13 s after it was sent, though the run that it began on an incarnation out of reach may live for a lease longer, or nobody had looked.

Change: a task waits until no start of an earlier run can be executed any more (all attempts answered or never sent, or 13 s after the last one) and a report requested after that shows none present, or its lease has expired. The executor is asked for that report. Two exceptions keep the bound on what the wait costs: a task that lasts, and one that a previous owner placed, may run on the executor of the earlier start meanwhile. A result that arrives after its start was forgotten settles no later one.

Evidence: TestLateStartOfOlderRunNeitherJoinsNorFollowsNewerRun, TestLateStartOfOlderRunDoesNotKeepLastingTaskAway (4 cases). The row earlier-start of TestExclusionReasons has a lasting step, as others wait anywhere.

--- a/internal/fulmarsched/command.go
+++ b/internal/fulmarsched/command.go
@@ -20,6 +20,8 @@
 // StartCommand starts a run of a task.
 type StartCommand struct {
 	Target Target
+	// SentAt is the scheduler's time at which the command was created.
+	SentAt fulmarclock.Millis
 	Start  fulmarjob.StartRequest
 }
 
--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -17,6 +17,8 @@
 	// lateExecutionBound is how long after it was sent a command, any hedged attempt of it included, may
 	// be executed without a response.
 	lateExecutionBound = 13 * fulmarclock.Second
+	// settledRecordDelay is how long the journal waits for other changes before it records a settled start alone.
+	settledRecordDelay = fulmarclock.Second
 	// entryReturnTimeout is how long the entry of an executor that is alive may be missing, with a margin
 	// for a watch that is late.
 	entryReturnTimeout = 3500 * fulmarclock.Millis(1)
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -202,10 +202,17 @@
 // leaseEnd returns a time by which the lease of a task's run has expired. A run that no report has
 // shown, or a late attempt to start it, may be at a later incarnation, unless that would have an entry.
 func (e *executor) leaseEnd(t *task, now fulmarclock.Millis) fulmarclock.Millis {
-	if e.isGone(now) || t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
+	if e.isGone(now) {
 		return e.leasesEndBy
 	}
-	return max(e.leasesEndBy, e.laterLeasesEndBy)
+	end := e.leasesEndBy
+	if !t.inherited {
+		end = max(end, e.openStarts.presentUntil(t.startKey()))
+	}
+	if t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
+		return end
+	}
+	return max(end, e.laterLeasesEndBy)
 }
 
 // isGone reports whether no later incarnation has the executor's ID: an executor that is alive has an entry
--- a/internal/fulmarsched/explain_test.go
+++ b/internal/fulmarsched/explain_test.go
@@ -89,6 +89,8 @@
 	limited.MaxPerExecutor = 1
 	labelled := step(1)
 	labelled.Label = "gpu"
+	lasting := step(1)
+	lasting.LongRunning = true
 	for _, row := range []struct {
 		reason fulmarapi.ExclusionReason
 		step   fulmarjob.Step
@@ -107,7 +109,7 @@
 		{fulmarapi.ExcludedIsolated, step(1), func(_ *Scheduler, e *executor) { e.isolatedFor = trial{isLasting: true} }},
 		{fulmarapi.ExcludedLabel, labelled, func(*Scheduler, *executor) {}},
 		{fulmarapi.ExcludedLimit, limited, nil},
-		{fulmarapi.ExcludedEarlierStart, step(1), func(s *Scheduler, _ *executor) {
+		{fulmarapi.ExcludedEarlierStart, lasting, func(s *Scheduler, _ *executor) {
 			s.openStarts.noteSent(s.now, startKey{"other", runKey{fulmarjob.TaskID{Job: jobID(4711)}, 2}}, false)
 		}},
 		{fulmarapi.ExcludedCapacity, step(1), func(_ *Scheduler, e *executor) { e.used.MilliCPU = 3500 }},
--- a/internal/fulmarsched/heldend_test.go
+++ b/internal/fulmarsched/heldend_test.go
@@ -158,7 +158,7 @@
 	s.handleFinished(e, []fulmarjob.FinishedTask{{Sequence: 1, Task: key.run.task, Run: 1, Outcome: fulmarjob.RunDone}})
 	e.acknowledged = 1
 	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(0))
-	command := StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{Task: key.run.task, Run: 1}}
+	command := StartCommand{Target: e.target(), SentAt: sim.now, Start: fulmarjob.StartRequest{Task: key.run.task, Run: 1}}
 	s.HandleStartResult(sim.now, command, 1, fulmarjob.ResultDone)
 	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(1))
 }
@@ -172,7 +172,7 @@
 	s.openStarts.noteSent(sim.now, key, false)
 	s.handleFinished(e, []fulmarjob.FinishedTask{{Sequence: 1, Task: key.run.task, Run: 1, Outcome: fulmarjob.RunDone}})
 	e.acknowledged = 1
-	command := StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{Task: key.run.task, Run: 1}}
+	command := StartCommand{Target: e.target(), SentAt: sim.now, Start: fulmarjob.StartRequest{Task: key.run.task, Run: 1}}
 	s.HandleStartResult(sim.now, command, 2, fulmarjob.ResultDone)
 	quicktest.Check(t, s.dueAcknowledgement(e), quicktest.Equals, int64(0))
 	s.HandleStartSettled(sim.now, command, fulmarjob.ResultDone)
--- a/internal/fulmarsched/olderstart_test.go
+++ b/internal/fulmarsched/olderstart_test.go
@@ -10,47 +10,63 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
-// A late start of a run that a newer one has replaced must not be executed beside the newer one, or after its
-// acknowledged end.
+// A late start of a run must not be executed beside a newer run of its task, or after the acknowledged end of one.
 func TestLateStartOfOlderRunNeitherJoinsNorFollowsNewerRun(t *testing.T) {
 	for _, o := range openStartCases {
 		for _, duration := range []fulmarclock.Millis{300, 9000} {
 			for _, ownerChanges := range []int{0, 1} {
 				t.Run(fmt.Sprintf("%s/runs of %d ms/%d changes of the owner", o.name, duration, ownerChanges), func(t *testing.T) {
 					sim := newSimulation(t, 2)
-					playLateStartOfOlderRun(sim, o.begin, duration, ownerChanges)
+					sim.runsTake(duration)
+					e := sim.playLateStartOfOlderRun(o.begin, step(1), ownerChanges)
+					sim.waitFor(sim.now+40000, "the job is completed", sim.allCompleted)
+					sim.runUntil(sim.now + 2*lateExecutionBound)
+					quicktest.Check(t, e.finished, quicktest.HasLen, 0)
 				})
 			}
 		}
 	}
 }
 
-// playLateStartOfOlderRun restarts the executor of a task whose start is open, and once more when a newer run of the
-// task is on or done, just before the start is executed late.
-func playLateStartOfOlderRun(sim *simulation, openStart func(*simulation), duration fulmarclock.Millis, ownerChanges int) {
+// A task that lasts must not wait for a late start of its older run, but must not run beside it either.
+func TestLateStartOfOlderRunDoesNotKeepLastingTaskAway(t *testing.T) {
+	for _, o := range openStartCases {
+		for _, ownerChanges := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s/%d changes of the owner", o.name, ownerChanges), func(t *testing.T) {
+				sim := newSimulation(t, 2)
+				sim.runsTake(1 << 40)
+				sim.playLateStartOfOlderRun(o.begin, longRunningStep(1, 1), ownerChanges)
+				quicktest.Check(t, sim.runs[len(sim.runs)-2].number, quicktest.Equals, int64(2))
+				sim.waitFor(sim.now+6000, "a newer run is on", func() bool {
+					last := sim.runs[len(sim.runs)-1]
+					return last.number > 2 && last.endedAt == 0
+				})
+			})
+		}
+	}
+}
+
+// playLateStartOfOlderRun restarts the executor of a task whose start is open, twice, the second time just before the
+// start is executed late. It returns the executor.
+func (s *simulation) playLateStartOfOlderRun(openStart func(*simulation), step fulmarjob.Step, ownerChanges int) *fakeExecutor {
 	const lateBy = 6000
-	sim.runsTake(duration)
-	sim.commandDelay = func(int) fulmarclock.Millis { return lateBy }
-	sim.runUntil(1200)
-	openStart(sim)
-	sim.submit(jobID(1), step(1))
-	sim.waitFor(3000, "the first attempt is sent", func() bool { return sim.repeatsNext == nil && sim.losesNext == nil })
-	lateAt := sim.now + lateBy
-	task := sim.scheduler.findTask(fulmarjob.TaskID{Job: jobID(1)})
-	e := sim.executorOf(task.executor.target())
-	sim.runUntil(sim.now + 200)
+	s.commandDelay = func(int) fulmarclock.Millis { return lateBy }
+	s.runUntil(1200)
+	openStart(s)
+	s.submit(jobID(1), step)
+	s.waitFor(3000, "the first attempt is sent", func() bool { return s.repeatsNext == nil && s.losesNext == nil })
+	lateAt := s.now + lateBy
+	e := s.executorOf(s.scheduler.findTask(fulmarjob.TaskID{Job: jobID(1)}).executor.target())
+	s.runUntil(s.now + 200)
 	e.crash()
 	e.restart()
-	sim.waitFor(lateAt-1000, "a newer run starts", func() bool { return len(sim.runs) > 0 && sim.runs[len(sim.runs)-1].number > 1 })
-	sim.runUntil(sim.now + 1000)
-	sim.changeOwner(ownerChanges)
-	sim.runUntil(lateAt - 500)
+	s.runUntil(s.now + 2500)
+	s.changeOwner(ownerChanges)
+	s.runUntil(lateAt - 500)
 	e.crash()
 	e.restartUnlisted(2000)
 	e.unresponsive = true
-	sim.runUntil(lateAt + 100)
+	s.runUntil(lateAt + 100)
 	e.unresponsive = false
-	sim.waitFor(sim.now+40000, "the job is completed", sim.allCompleted)
-	sim.runUntil(sim.now + 2*lateExecutionBound)
-	quicktest.Check(sim.t, e.finished, quicktest.HasLen, 0)
+	return e
 }
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -21,24 +21,29 @@
 }
 
 // openStarts are the starts of which an attempt may still be executed: by the incarnation that it was
-// meant for, which ignores it, or by a later one, which knows nothing of the run and starts the task again.
+// meant for, which ignores it, or by a later one, which knows nothing of the run and starts the task again. A
+// start stays among them until a run that it began can't be present any more either.
 // Starts of previous owners come from the journal: those of placed runs that it does not call settled,
 // and those that it lists for an executor since the run was removed from there.
 //
 // Usage:
 //
 //	starts.noteSent(now, key, isGang)
-//	settled := starts.noteResult(key, attempts, result)
+//	settled := starts.noteResult(key, sentAt, attempts, result)
 //	starts.noteRemoved(key)
 //	keys := starts.before(now, key)
+//	starts.noteReport(executor, sentAt)
 type openStarts struct {
-	starts map[startKey]*openStart
+	maxLease fulmarclock.Millis
+	starts   map[startKey]*openStart
 	// ofTasks holds the keys of starts by task.
 	ofTasks map[fulmarjob.TaskID][]startKey
 	// strays is the number of stray runs by task.
 	strays map[fulmarjob.TaskID]int
 	// gangs is the number of those that are of members of gangs.
 	gangs int
+	// atExecutors is the number of starts by executor.
+	atExecutors map[string]int
 	// changed are the executors whose journal record is out of date.
 	changed map[string]bool
 }
@@ -47,8 +52,14 @@
 type openStart struct {
 	// unsettled is the number of start commands with such an attempt.
 	unsettled int
-	// until is the time from which on none of their attempts can be executed any more.
-	until fulmarclock.Millis
+	// since is when the first of them was sent.
+	since fulmarclock.Millis
+	// until is the time from which on none of their attempts can be executed any more, presentUntil the time by
+	// which the lease of a run that one of them began has expired.
+	until        fulmarclock.Millis
+	presentUntil fulmarclock.Millis
+	// inherited means that a previous owner may have sent one.
+	inherited bool
 	// gang means that the run is of a member of a gang.
 	gang bool
 	// removed means that the run is not placed on the executor any more.
@@ -57,34 +68,40 @@
 	holding []string
 }
 
-func newOpenStarts() *openStarts {
-	return &openStarts{starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{}}
+func newOpenStarts(maxLease fulmarclock.Millis) *openStarts {
+	return &openStarts{maxLease: maxLease, atExecutors: map[string]int{}, starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{}}
 }
 
 // noteSent records that a start command is sent now. A run may have several.
 func (o *openStarts) noteSent(now fulmarclock.Millis, key startKey, gang bool) {
 	start := o.starts[key]
 	if start == nil {
-		start = o.add(key, &openStart{gang: gang})
+		start = o.add(key, &openStart{since: now, gang: gang})
 	}
 	start.unsettled++
+	o.extend(start, now)
+}
+
+// extend sets the times of a start for a command that is sent now.
+func (o *openStarts) extend(start *openStart, now fulmarclock.Millis) {
 	start.until = now + lateExecutionBound
+	start.presentUntil = start.until + fulmarclock.Millis(float64(o.maxLease)/minClockRate)
 }
 
-// noteResult records the result of a start command. It returns the start if none of the run can be executed any
+// noteResult records the result of a start command that was sent at sentAt. It returns the start if none of the run can be executed any
 // more, or nil. The command is settled if its only attempt was answered, or never sent.
-func (o *openStarts) noteResult(key startKey, attempts int, result fulmarjob.CommandResult) *openStart {
+func (o *openStarts) noteResult(key startKey, sentAt fulmarclock.Millis, attempts int, result fulmarjob.CommandResult) *openStart {
 	if attempts > 1 || result == fulmarjob.ResultUnknown {
 		return nil
 	}
-	return o.noteSettled(key)
+	return o.noteSettled(key, sentAt)
 }
 
-// noteSettled records that all attempts of a start command were answered, or never sent. It returns the start if
-// none of the run can be executed any more, or nil.
-func (o *openStarts) noteSettled(key startKey) *openStart {
+// noteSettled records that all attempts of a start command that was sent at sentAt were answered, or never sent.
+// It returns the start if none of the run can be executed any more, or nil.
+func (o *openStarts) noteSettled(key startKey, sentAt fulmarclock.Millis) *openStart {
 	start := o.starts[key]
-	if start == nil {
+	if start == nil || sentAt < start.since {
 		return nil
 	}
 	start.unsettled--
@@ -113,12 +130,14 @@
 
 // noteInherited records a start of a previous owner that may be open. When it was sent is unknown.
 func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed bool) {
-	o.add(key, &openStart{unsettled: 1, until: now + lateExecutionBound, gang: gang, removed: removed})
+	until := now + lateExecutionBound
+	o.add(key, &openStart{since: now, until: until, presentUntil: until, unsettled: 1, inherited: true, gang: gang, removed: removed})
 }
 
 func (o *openStarts) add(key startKey, start *openStart) *openStart {
 	o.remove(key)
 	o.starts[key] = start
+	o.atExecutors[key.executor]++
 	o.ofTasks[key.run.task] = append(o.ofTasks[key.run.task], key)
 	if start.gang {
 		o.gangs++
@@ -169,15 +188,16 @@
 	return a == b
 }
 
-// permits reports whether a new run of a task may be placed on an executor: no earlier one may be present anywhere.
-// While a start of an earlier run may still be executed, only its executor may have the new run: it has one
-// incarnation at a time, and one that has answered refuses earlier starts, so the two can't be present together.
-func (o *openStarts) permits(task fulmarjob.TaskID, executor string) bool {
+// permits reports whether a new run of a task may be placed on an executor: no earlier one may be present, or may
+// still be started. The executor of the earlier start, which has one incarnation at a time, may have a task that
+// lasts, for which the wait would be too long, or one of a previous owner, which may not have sent the start at all.
+func (o *openStarts) permits(task fulmarjob.TaskID, executor string, isLasting bool) bool {
 	if o.strays[task] > 0 {
 		return false
 	}
 	for _, key := range o.ofTasks[task] {
-		if key.executor != executor {
+		mayShare := isLasting || o.starts[key].inherited
+		if !mayShare || key.executor != executor {
 			return false
 		}
 	}
@@ -192,6 +212,41 @@
 	}
 }
 
+// presentUntil returns by when a run that an open start began is certainly over, zero if no start of the run is
+// open.
+func (o *openStarts) presentUntil(key startKey) fulmarclock.Millis {
+	if start := o.starts[key]; start != nil {
+		return start.presentUntil
+	}
+	return 0
+}
+
+// noteReport drops the starts that could no longer be executed when a report of their executor was requested: it
+// lists the runs that they may have begun.
+func (o *openStarts) noteReport(executor string, sentAt fulmarclock.Millis) {
+	if o.atExecutors[executor] == 0 {
+		return
+	}
+	for key, start := range o.starts {
+		if key.executor == executor && start.until <= sentAt {
+			o.remove(key)
+		}
+	}
+}
+
+// awaitingReport returns the executors whose next report shows whether a start that can't be executed any more has
+// begun a run.
+func (o *openStarts) awaitingReport(now fulmarclock.Millis) []string {
+	var executors []string
+	for key, start := range o.starts {
+		if start.until <= now {
+			executors = append(executors, key.executor)
+		}
+	}
+	slices.Sort(executors)
+	return slices.Compact(executors)
+}
+
 // dropExecutor drops the starts at an executor that has ended for good: no later incarnation can execute them.
 func (o *openStarts) dropExecutor(executor string) {
 	for key := range o.starts {
@@ -201,10 +256,10 @@
 	}
 }
 
-// dropExpired drops the starts that can't be executed any more.
+// dropExpired drops the starts of which no run can be present any more.
 func (o *openStarts) dropExpired(now fulmarclock.Millis) {
 	for key, start := range o.starts {
-		if start.until <= now {
+		if start.presentUntil <= now {
 			o.remove(key)
 		}
 	}
@@ -222,6 +277,10 @@
 		o.gangs--
 	}
 	delete(o.starts, key)
+	o.atExecutors[key.executor]--
+	if o.atExecutors[key.executor] == 0 {
+		delete(o.atExecutors, key.executor)
+	}
 	o.removeOfTask(key)
 }
 
--- a/internal/fulmarsched/place.go
+++ b/internal/fulmarsched/place.go
@@ -315,10 +315,10 @@
 	return e.keepsReservation(t) && e.permitsRunOf(t)
 }
 
-// permitsRunOf reports whether no start of an earlier run of the task may still be executed elsewhere. Copies run
-// beside another run anyway.
+// permitsRunOf reports whether the runs of the task that are or may be present elsewhere permit a new one on the
+// executor. Copies run beside another run anyway.
 func (e *executor) permitsRunOf(t *task) bool {
-	return t.step.Speculative || e.openStarts.permits(t.id, e.info.ID)
+	return t.step.Speculative || e.openStarts.permits(t.id, e.info.ID, t.step.LongRunning)
 }
 
 // countOn returns how many of the tasks are placed on the executor.
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -176,11 +176,25 @@
 	s.noteUnlisted(e, report)
 	s.handleFinished(e, report.Finished)
 	s.reconcileRunning(e, sentAt, report.Running)
+	s.openStarts.noteReport(e.info.ID, sentAt)
 	s.adjustSpeeds(e)
 	s.scheduleNextRenewal(e, tokenWasAccepted)
 	s.deleteIfUnused(e)
 }
 
+// requestReports asks executors for reports that show whether an open start has begun a run there.
+func (s *Scheduler) requestReports() {
+	for _, id := range s.openStarts.awaitingReport(s.now) {
+		e := s.executors[id]
+		switch {
+		case e == nil:
+			s.openStarts.noteReport(id, s.now)
+		case !e.renewalInFlight && e.renewalDue == 0:
+			s.scheduleRenewal(e, e.renewalSentAt+probeInterval)
+		}
+	}
+}
+
 // scheduleNextRenewal schedules the renewal after a report. An executor without tasks, stray runs
 // and unacknowledged finished runs needs none.
 func (s *Scheduler) scheduleNextRenewal(e *executor, tokenWasAccepted bool) {
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -136,9 +136,10 @@
 	// placementsLeft is how many more tasks may be placed.
 	placementsLeft int
 
-	// The changes since the last batch. settledJobs are jobs with starts that have been settled.
+	// The changes since the last batch. settledJobs are jobs with starts that have been settled since settledSince.
 	dirtyJobs             []*job
 	settledJobs           []*job
+	settledSince          fulmarclock.Millis
 	placedTasks           []*task
 	executorsWithFinished []*executor
 	chosenVMs             []*vmMaintenance
@@ -157,7 +158,7 @@
 		params: params, token: token, revision: token, log: log, now: now, startedAt: now,
 		jobs:           map[string]*job{},
 		executors:      map[string]*executor{},
-		openStarts:     newOpenStarts(),
+		openStarts:     newOpenStarts(params.MaxLease),
 		holdBudget:     newHoldBudget(),
 		waves:          map[int64]*wave{},
 		durationModels: map[string]*durationModel{},
@@ -205,6 +206,7 @@
 	}
 	s.dropEndedJobs()
 	s.openStarts.dropExpired(now)
+	s.requestReports()
 	s.dropLapses()
 	s.dropCrashedVMs()
 	for _, j := range s.activeJobs {
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -37,7 +37,7 @@
 	s.openStarts.noteSent(s.now, t.startKey(), t.step.Gang)
 	deadline := e.clockLowerBound(s.now) + startValidity
 	e.extendLeaseBound(s.now, deadline, s.params.MaxLease)
-	s.commands = append(s.commands, StartCommand{Target: e.target(), Start: fulmarjob.StartRequest{
+	s.commands = append(s.commands, StartCommand{Target: e.target(), SentAt: s.now, Start: fulmarjob.StartRequest{
 		Task: t.id, Run: t.run, Payload: t.job.specification.Payload, Checkpoint: t.checkpoint,
 		Deadline: deadline, Token: e.fence.token, Ticket: s.ticketOf(t),
 	}})
@@ -56,7 +56,7 @@
 		s.log.Log("executor answered one of several attempts of a start; another one may still be executed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", target.ID, "answer", result, "attempts", attempts)
 		s.log.Count("open_starts", result.String())
 	}
-	if settled := s.openStarts.noteResult(startKey{target.ID, runKey{id, run}}, attempts, result); settled != nil {
+	if settled := s.openStarts.noteResult(startKey{target.ID, runKey{id, run}}, c.SentAt, attempts, result); settled != nil {
 		s.handleSettledStart(target, runKey{id, run}, settled, result)
 	}
 	if t == nil || !t.isPlacedAt(target, run) {
@@ -77,7 +77,7 @@
 	s.now = now
 	run := runKey{c.Start.Task, c.Start.Run}
 	s.log.Count("settled_starts", result.String())
-	if settled := s.openStarts.noteSettled(startKey{c.Target.ID, run}); settled != nil {
+	if settled := s.openStarts.noteSettled(startKey{c.Target.ID, run}, c.SentAt); settled != nil {
 		s.handleSettledStart(c.Target, run, settled, result)
 	}
 }
@@ -105,15 +105,16 @@
 // executed any more.
 func (s *Scheduler) settleStart(t *task) {
 	t.startAnswered = true
-	if !t.step.LongRunning {
-		s.settledJobs = append(s.settledJobs, t.job)
+	if len(s.settledJobs) == 0 {
+		s.settledSince = s.now
 	}
+	s.settledJobs = append(s.settledJobs, t.job)
 }
 
 // recordSettledStarts adds the settled starts to a batch that has other changes. An append for them alone
-// would make the next change wait.
+// would make the next change wait, so that is left to a time without changes.
 func (s *Scheduler) recordSettledStarts() {
-	if len(s.dirtyJobs) == 0 {
+	if len(s.settledJobs) == 0 || len(s.dirtyJobs) == 0 && s.now < s.settledSince+settledRecordDelay {
 		return
 	}
 	for _, j := range s.settledJobs {
