fulmarowner, fulmarhedge: let the other attempts of a start be answered

The end of a run whose start had several attempts is held for 13 s, or given up when the budget of late ends is spent: the commonest case on slow machines, where most starts are hedged.

Cause: the first answer cancelled the other attempts, so their answers were never read, and the start counted as open until no attempt could be executed any more.

Change: fulmarhedge.DoAll leaves the other attempts running. They end with the command's timeout or the term. Once all have answers or were never sent, the event startSettled calls Scheduler.HandleStartSettled. The result is reported before that, as it was. No attempt begins once the result has been counted (attemptTally): it would not be in the number that the scheduler gets.

--- a/internal/fulmarhedge/hedge.go
+++ b/internal/fulmarhedge/hedge.go
@@ -10,11 +10,13 @@
 //	}, isFinal)
 //
 // Do returns the first final result and cancels the other attempts. If no result is
-// final, it returns the last one.
+// final, it returns the last one. DoAll lets the other attempts go on, for callers that need to
+// know how each of them ended.
 package fulmarhedge
 
 import (
 	"context"
+	"sync"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
@@ -39,12 +41,20 @@
 func Do[T any](ctx context.Context, clock fulmarclock.Clock, p Plan, call func(context.Context) (T, error), isFinal func(T, error) bool) (T, error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	value, _, err := DoAll(attemptCtx, clock, p, call, isFinal)
+	return value, err
+}
+
+// DoAll is like Do, but the attempts without a result go on when it returns: each gets ctx itself. No
+// further one starts then. wait waits until all of them have returned, so the caller ends ctx at some time.
+func DoAll[T any](ctx context.Context, clock fulmarclock.Clock, p Plan, call func(context.Context) (T, error), isFinal func(T, error) bool) (value T, wait func(), err error) {
 	results := make(chan result[T], p.MaxAttempts)
+	var attempts sync.WaitGroup
 	start := func() {
-		go func() {
-			value, err := call(attemptCtx)
+		attempts.Go(func() {
+			value, err := call(ctx)
 			results <- result[T]{value, err}
-		}()
+		})
 	}
 	start()
 	started, returned := 1, 0
@@ -54,7 +64,7 @@
 		case r := <-results:
 			returned++
 			if isFinal(r.value, r.err) || returned == p.MaxAttempts || returned == started {
-				return r.value, r.err
+				return r.value, attempts.Wait, r.err
 			}
 		case <-next:
 			if started < p.MaxAttempts {
--- a/internal/fulmarhedge/hedge_test.go
+++ b/internal/fulmarhedge/hedge_test.go
@@ -56,3 +56,27 @@
 	}, succeeded)
 	quicktest.Assert(t, errors.Is(err, context.Canceled), quicktest.IsTrue)
 }
+
+func TestDoAllLetsOtherAttemptsReturn(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var calls, answered atomic.Int32
+	release := make(chan struct{})
+	value, wait, err := DoAll(ctx, immediateClock{}, Plan{Delay: 50, MaxAttempts: 2}, func(ctx context.Context) (int, error) {
+		n := calls.Add(1)
+		if n == 1 {
+			select {
+			case <-ctx.Done():
+				return 0, ctx.Err()
+			case <-release:
+			}
+		}
+		answered.Add(1)
+		return int(n), nil
+	}, succeeded)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, value, quicktest.Equals, 2)
+	close(release)
+	wait()
+	quicktest.Assert(t, answered.Load(), quicktest.Equals, int32(2))
+}
--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -43,45 +43,58 @@
 	return &fulmarjob.ExpiredAuthorityError{Call: command}
 }
 
-// start sends a start command and tracks how long the executor takes to respond.
+// start sends a start command and tracks how long the executor takes to respond. The attempts that have no
+// response by then go on: a start can be executed until all of them are answered.
 func (t *term) start(ctx context.Context, c fulmarsched.StartCommand) {
+	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
+	defer cancel()
 	started := t.options.Clock.Now()
-	result, attempts := t.sendHedged(ctx, "start", c.Target, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	var tally attemptTally
+	result, wait, err := fulmarhedge.DoAll(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("start", &tally, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Start(attemptCtx, c.Target.Address, c.Target.ID, c.Start)
-	})
+	}), hasResult)
+	t.recordResult("start", c.Target.ID, result, err)
 	latency := t.options.Clock.Now() - started
 	if result.IsAnswer() {
 		t.latency.Observe(latency)
 	}
 	t.options.Metrics.Observe("start_order", latency)
+	attempts := tally.close()
 	t.send(startCompleted{c, started, attempts, result})
+	wait()
+	if attempts > 1 && result.IsAnswer() && !tally.isAnyOpen() {
+		t.send(startSettled{c, result})
+	}
 }
 
 // stop sends a stop command.
 func (t *term) stop(ctx context.Context, c fulmarsched.StopCommand) {
-	result, _ := t.sendHedged(ctx, "stop", c.Target, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
+	defer cancel()
+	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("stop", &attemptTally{}, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Stop(attemptCtx, c.Target.Address, c.Target.ID, c.Task, c.Run, c.Token)
-	})
+	}), hasResult)
+	t.recordResult("stop", c.Target.ID, result, err)
 	t.send(stopCompleted{c, result})
 }
 
 // attempt sends a command once, through the given path.
 type attempt func(ctx context.Context, executors Executors) (fulmarjob.CommandResult, error)
 
-// sendHedged sends a command to an executor in hedged attempts and records the result. It returns
-// the number of attempts, too.
-func (t *term) sendHedged(ctx context.Context, command string, target fulmarsched.Target, send attempt) (fulmarjob.CommandResult, int) {
-	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
-	defer cancel()
-	var attempts atomic.Int32
-	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), func(attemptCtx context.Context) (fulmarjob.CommandResult, error) {
+// newAttempt returns a function that sends a command once and counts that in a tally.
+func (t *term) newAttempt(command string, tally *attemptTally, send attempt) func(context.Context) (fulmarjob.CommandResult, error) {
+	return func(ctx context.Context) (fulmarjob.CommandResult, error) {
 		if err := t.checkMayExecute(command); err != nil {
 			return fulmarjob.ResultUnknown, err
 		}
-		return send(attemptCtx, t.executorsFor(attempts.Add(1)))
-	}, hasResult)
-	t.recordResult(command, target.ID, result, err)
-	return result, int(attempts.Load())
+		n, ok := tally.begin()
+		if !ok {
+			return fulmarjob.ResultUnreachable, &fulmarjob.NotExecutedError{Call: command}
+		}
+		result, err := send(ctx, t.executorsFor(n))
+		tally.end(result)
+		return result, err
+	}
 }
 
 // renewLease renews an executor's lease. Hedged attempts request a response at once, as the first one
@@ -97,7 +110,7 @@
 		if err := t.checkMayExecute("hold"); err != nil {
 			return renewalResponse{command: c, result: fulmarjob.ResultUnknown}, err
 		}
-		n := attempts.Add(1)
+		n := int(attempts.Add(1))
 		sent := c
 		if n > 1 {
 			sent.Wait, sent.Acknowledged = 0, 0
@@ -111,7 +124,7 @@
 
 // executorsFor returns the path of the n-th attempt of a command: the first goes through
 // other members, further ones go directly, because a member may be unreachable.
-func (t *term) executorsFor(n int32) Executors {
+func (t *term) executorsFor(n int) Executors {
 	if n == 1 {
 		return t.options.Relay
 	}
--- a/internal/fulmarowner/event.go
+++ b/internal/fulmarowner/event.go
@@ -55,6 +55,17 @@
 	t.scheduler.HandleStartResult(now, e.command, e.attempts, e.result)
 }
 
+// startSettled means that the attempts of a start command that had no answer at its result have been answered
+// since, or were never sent.
+type startSettled struct {
+	command fulmarsched.StartCommand
+	result  fulmarjob.CommandResult
+}
+
+func (e startSettled) apply(t *term, now fulmarclock.Millis) {
+	t.scheduler.HandleStartSettled(now, e.command, e.result)
+}
+
 type stopCompleted struct {
 	command fulmarsched.StopCommand
 	result  fulmarjob.CommandResult
