fulmarowner, fulmarrelay, platform: know attempts of which nothing was sent

A start that only waited (for a connection, in the queue of the relay) counted as one that may be executed for 13 s, and one that was given up while it waited could still be written by the transport's goroutine.

Cause: whether an attempt was written is known to the connection alone, and giving it up went by the context, which the goroutine that writes looks at only sometimes. The body's first read is not the point to ask at: with a body of its own type the transport flushes the headers before.

Change: internal/fulmarattempt, an attempt with an atomic state (pending, sending, given up) that the context carries. It has begun or was given up, never both. Attempts that are pending at the first answer are given up. HandleStartResult gets the number of those that may have been sent, and ResultUnreachable if none was. A relayed order's limit is what is left when its message is sent, not when it is queued. Renewals without a response stay ResultUnknown, which isSuperseded needs.

--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync/atomic"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
@@ -49,17 +50,17 @@
 	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
 	defer cancel()
 	started := t.options.Clock.Now()
-	var tally attemptTally
-	result, wait, err := fulmarhedge.DoAll(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("start", &tally, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	tally := newAttemptTally()
+	result, wait, err := fulmarhedge.DoAll(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("start", tally, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Start(attemptCtx, c.Target.Address, c.Target.ID, c.Start)
 	}), hasResult)
+	attempts, result := tally.close(result)
 	t.recordResult("start", c.Target.ID, result, err)
 	latency := t.options.Clock.Now() - started
 	if result.IsAnswer() {
 		t.latency.Observe(latency)
 	}
 	t.options.Metrics.Observe("start_order", latency)
-	attempts := tally.close()
 	t.send(startCompleted{c, started, attempts, result})
 	wait()
 	if attempts > 1 && result.IsAnswer() && !tally.isAnyOpen() {
@@ -71,7 +72,7 @@
 func (t *term) stop(ctx context.Context, c fulmarsched.StopCommand) {
 	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
 	defer cancel()
-	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("stop", &attemptTally{}, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("stop", newAttemptTally(), func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Stop(attemptCtx, c.Target.Address, c.Target.ID, c.Task, c.Run, c.Token)
 	}), hasResult)
 	t.recordResult("stop", c.Target.ID, result, err)
@@ -84,15 +85,18 @@
 // newAttempt returns a function that sends a command once and counts that in a tally.
 func (t *term) newAttempt(command string, tally *attemptTally, send attempt) func(context.Context) (fulmarjob.CommandResult, error) {
 	return func(ctx context.Context) (fulmarjob.CommandResult, error) {
+		attempt := fulmarattempt.New(func() error { return t.checkMayExecute(command) })
+		attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
+		defer cancel()
 		if err := t.checkMayExecute(command); err != nil {
-			return fulmarjob.ResultUnknown, err
+			return fulmarjob.ResultUnreachable, err
 		}
-		n, ok := tally.begin()
+		n, ok := tally.begin(attempt, cancel)
 		if !ok {
-			return fulmarjob.ResultUnreachable, &fulmarjob.NotExecutedError{Call: command}
+			return fulmarjob.ResultUnreachable, &fulmarattempt.GivenUpError{}
 		}
-		result, err := send(ctx, t.executorsFor(n))
-		tally.end(result)
+		result, err := send(attemptCtx, t.executorsFor(n))
+		tally.end(attempt, result)
 		return result, err
 	}
 }
--- a/internal/fulmarowner/slowattempt_test.go
+++ b/internal/fulmarowner/slowattempt_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
@@ -71,10 +72,79 @@
 }
 
 func TestAttemptThatBeginsAfterResultIsNotSent(t *testing.T) {
-	var tally attemptTally
-	n, ok := tally.begin()
+	tally := newAttemptTally()
+	n, ok := tally.begin(fulmarattempt.New(nil), func() {})
 	quicktest.Assert(t, n == 1 && ok, quicktest.IsTrue)
-	quicktest.Assert(t, tally.close(), quicktest.Equals, 1)
-	_, ok = tally.begin()
+	tally.close(fulmarjob.ResultDone)
+	_, ok = tally.begin(fulmarattempt.New(nil), func() {})
 	quicktest.Assert(t, ok, quicktest.IsFalse)
 }
+
+func TestCountOfAttemptsLeavesOutThoseThatWereNotSent(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		// ended are the results of attempts that have returned, sent and waiting the numbers of others.
+		ended         []fulmarjob.CommandResult
+		sent, waiting int
+		last          fulmarjob.CommandResult
+		attempts      int
+		result        fulmarjob.CommandResult
+	}{
+		{"answered beside one that waits", []fulmarjob.CommandResult{fulmarjob.ResultDone}, 0, 1, fulmarjob.ResultDone, 1, fulmarjob.ResultDone},
+		{"answered beside one that was sent", []fulmarjob.CommandResult{fulmarjob.ResultDone}, 1, 0, fulmarjob.ResultDone, 2, fulmarjob.ResultDone},
+		{"answered after one that was not sent", []fulmarjob.CommandResult{fulmarjob.ResultUnreachable, fulmarjob.ResultDone}, 0, 0, fulmarjob.ResultDone, 1, fulmarjob.ResultDone},
+		{"no connection after one that was sent", []fulmarjob.CommandResult{fulmarjob.ResultUnknown, fulmarjob.ResultUnreachable}, 0, 0, fulmarjob.ResultUnreachable, 1, fulmarjob.ResultUnknown},
+		{"none sent", []fulmarjob.CommandResult{fulmarjob.ResultUnreachable, fulmarjob.ResultUnreachable}, 0, 0, fulmarjob.ResultUnreachable, 1, fulmarjob.ResultUnreachable},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			tally := newAttemptTally()
+			for _, result := range row.ended {
+				a := fulmarattempt.New(nil)
+				tally.begin(a, func() {})
+				tally.end(a, result)
+			}
+			canceled := 0
+			for i := range row.sent + row.waiting {
+				a := fulmarattempt.New(nil)
+				ctx := fulmarattempt.NewContext(context.Background(), a)
+				tally.begin(a, func() { canceled++ })
+				fulmarattempt.Track(ctx)
+				if i < row.sent {
+					quicktest.Assert(t, a.Begin(ctx), quicktest.IsNil)
+				}
+			}
+			attempts, result := tally.close(row.last)
+			quicktest.Assert(t, attempts, quicktest.Equals, row.attempts)
+			quicktest.Assert(t, result, quicktest.Equals, row.result)
+			quicktest.Assert(t, canceled, quicktest.Equals, row.waiting)
+		})
+	}
+}
+
+// waitingStarts are starts of which each first attempt waits for a connection until it is given up.
+type waitingStarts struct {
+	*fakeExecutors
+	attempts, given atomic.Int32
+}
+
+func (s *waitingStarts) Start(ctx context.Context, address, id string, r fulmarjob.StartRequest) (fulmarjob.CommandResult, error) {
+	fulmarattempt.Track(ctx)
+	if s.attempts.Add(1) > 1 {
+		return s.fakeExecutors.Start(ctx, address, id, r)
+	}
+	<-ctx.Done()
+	s.given.Add(1)
+	return fulmarjob.ResultUnreachable, &fulmarattempt.NotSentError{Call: "run-start", Cause: ctx.Err()}
+}
+
+func TestEndIsNotHeldForAttemptThatNeverGotConnection(t *testing.T) {
+	h := newHarness(t)
+	waiting := &waitingStarts{fakeExecutors: h.executors}
+	h.candidate.options.Relay, h.candidate.options.Executors = waiting, waiting
+	h.start()
+	h.acceptRunning(jobA)
+	h.executors.finish(jobA)
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(waiting.given.Load(), quicktest.Equals, int32(1))
+	h.c.Assert(h.executors.hasFinishedRuns(), quicktest.IsFalse)
+}
--- a/internal/fulmarrelay/encode.go
+++ b/internal/fulmarrelay/encode.go
@@ -1,9 +1,11 @@
 package fulmarrelay
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarrelay/fulmarrelaypb"
@@ -65,6 +67,10 @@
 // decodeResult returns the result of a relayed command. err is the relay's own error
 // when there is no message. A result that this version does not know counts as unknown.
 func decodeResult(a *fulmarrelaypb.Answer, err error) (fulmarjob.CommandResult, error) {
+	var notSent *fulmarattempt.NotSentError
+	if errors.As(err, &notSent) {
+		return fulmarjob.ResultUnreachable, err
+	}
 	if err != nil {
 		return fulmarjob.ResultUnknown, err
 	}
--- a/internal/fulmarrelay/hub.go
+++ b/internal/fulmarrelay/hub.go
@@ -228,6 +228,9 @@
 	if !relayed {
 		return h.options.Direct.RenewLease(ctx, address, id, token, acknowledged, deadline, wait)
 	}
-	decoded, err := decodeResult(result, err)
+	if err != nil {
+		return fulmarjob.ResultUnknown, fulmarjob.Report{}, err
+	}
+	decoded, err := decodeResult(result, nil)
 	return decoded, decodeReport(result.GetReport()), err
 }
--- a/internal/fulmarrelay/session.go
+++ b/internal/fulmarrelay/session.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarrelay/fulmarrelaypb"
@@ -36,7 +37,7 @@
 	member string
 	cores  float64
 	clock  fulmarclock.Clock
-	queue  chan *fulmarrelaypb.Order
+	queue  chan *queuedOrder
 	done   chan struct{}
 
 	mu         sync.Mutex
@@ -45,24 +46,32 @@
 	closed     bool
 }
 
+// queuedOrder is a command that waits for its message. It is left out if its attempt may not begin by then.
+type queuedOrder struct {
+	*fulmarrelaypb.Order
+	ctx     context.Context
+	attempt *fulmarattempt.Attempt
+}
+
 func newSession(member string, cores float64, clock fulmarclock.Clock) *session {
 	return &session{
-		member: member, cores: cores, clock: clock, queue: make(chan *fulmarrelaypb.Order, maxQueuedCommands),
+		member: member, cores: cores, clock: clock, queue: make(chan *queuedOrder, maxQueuedCommands),
 		done: make(chan struct{}), pending: map[uint64]chan *fulmarrelaypb.Answer{},
 	}
 }
 
 // roundTrip sends a command and waits for its result. It fails with queueFullError when
-// the command was not sent, and with fulmarjob.UnknownOutcomeError when ctx or the stream ends first.
+// the command was not queued. When ctx or the stream ends first, it fails with fulmarattempt.NotSentError if
+// the command was still queued, and with fulmarjob.UnknownOutcomeError if not.
 func (s *session) roundTrip(ctx context.Context, o *fulmarrelaypb.Order) (*fulmarrelaypb.Answer, error) {
 	result := make(chan *fulmarrelaypb.Answer, 1)
 	if !s.register(o, result) {
 		return nil, &queueFullError{}
 	}
 	defer s.unregister(o.GetNumber())
-	o.LimitMs = remainingMillis(ctx)
+	attempt := fulmarattempt.Track(ctx)
 	select {
-	case s.queue <- o:
+	case s.queue <- &queuedOrder{o, ctx, attempt}:
 	default:
 		return nil, &queueFullError{}
 	}
@@ -70,10 +79,31 @@
 	case r := <-result:
 		return r, nil
 	case <-s.done:
-		return nil, &fulmarjob.UnknownOutcomeError{Call: "a command through " + s.member, Cause: &DetachedError{Member: s.member}}
+		return nil, s.errorOf(attempt, &DetachedError{Member: s.member})
 	case <-ctx.Done():
-		return nil, &fulmarjob.UnknownOutcomeError{Call: "a command through " + s.member, Cause: ctx.Err()}
+		return nil, s.errorOf(attempt, ctx.Err())
+	}
+}
+
+// errorOf returns the error of a command without a result.
+func (s *session) errorOf(attempt *fulmarattempt.Attempt, cause error) error {
+	call := "a command through " + s.member
+	if attempt.GiveUp() {
+		return &fulmarattempt.NotSentError{Call: call, Cause: cause}
+	}
+	return &fulmarjob.UnknownOutcomeError{Call: call, Cause: cause}
+}
+
+// sendable returns the commands that may still be sent, with their remaining time.
+func sendable(queued []*queuedOrder) []*fulmarrelaypb.Order {
+	orders := make([]*fulmarrelaypb.Order, 0, len(queued))
+	for _, q := range queued {
+		if q.attempt.Begin(q.ctx) == nil {
+			q.LimitMs = remainingMillis(q.ctx)
+			orders = append(orders, q.Order)
+		}
 	}
+	return orders
 }
 
 // register assigns a number to a command and the channel that gets its result. It
@@ -128,8 +158,8 @@
 	heartbeat := make(chan struct{}, 1)
 	go func() { received <- s.receive(stream, heartbeat) }()
 	senders.Go(func() {
-		sendBatches(ctx, s.clock, s.queue, func(batch []*fulmarrelaypb.Order) error {
-			return stream.Send(&fulmarrelaypb.Orders{Orders: batch, Owner: notice.next()})
+		sendBatches(ctx, s.clock, s.queue, func(batch []*queuedOrder) error {
+			return stream.Send(&fulmarrelaypb.Orders{Orders: sendable(batch), Owner: notice.next()})
 		})
 	})
 	return awaitStreamEnd(ctx, s.clock, received, heartbeat)
