fulmarowner: give up an acknowledgement that waits before it is written

Cause: the only bound on a renewal was the time for its response, over a second, while an acknowledgement relies on a report: the executor must not have restarted since.

Change: an attempt has a time by which it must be written (send-by), checked right before each write and measured by the steady clock and the one that counts suspensions: commandTimeout for starts and stops, 100 ms for a renewal that acknowledges ends. One that is late is given up, and a renewal without the acknowledgement, which asks for a report at once, goes in its place; so the lease is still renewed. What has been written keeps the time for its response. A process that was paused writes nothing whose time has passed when it wakes, whether its timers have fired or not.

TestAcknowledgementThatWasWrittenKeepsItsResponse guards the other side; TestAttemptThatWaitedTooLongDoesNotBegin and TestAcknowledgementIsNotWrittenLongAfterItsReport the paused process. What a relay has sent to a member is not bounded yet.

--- a/internal/fulmarattempt/attempt.go
+++ b/internal/fulmarattempt/attempt.go
@@ -3,7 +3,7 @@
 //
 // Usage, by the caller:
 //
-//	attempt := fulmarattempt.New(mayBegin)
+//	attempt := fulmarattempt.New(800*time.Millisecond, mayBegin)
 //	result, err := executors.Start(fulmarattempt.NewContext(ctx, attempt), address, id, start)
 //	if attempt.GiveUp() {
 //		// no executor can get it any more
@@ -38,13 +38,21 @@
 
 // Attempt is one attempt of a call. It is safe for concurrent use.
 type Attempt struct {
-	state    atomic.Int32
+	state atomic.Int32
+	// sendBy is the time by which the attempt must have been written, zero if there is none.
+	sendBy   time.Time
 	mayBegin func() error
 }
 
-// New returns an attempt. mayBegin returns an error once the attempt must not be sent any more; nil means
-// that it always may.
-func New(mayBegin func() error) *Attempt { return &Attempt{mayBegin: mayBegin} }
+// New returns an attempt that must be written within a time; zero sets no bound beside that of the context.
+// mayBegin returns an error once the attempt must not be sent any more; nil means that it always may.
+func New(within time.Duration, mayBegin func() error) *Attempt {
+	a := &Attempt{mayBegin: mayBegin}
+	if within > 0 {
+		a.sendBy = time.Now().Add(within)
+	}
+	return a
+}
 
 // contextKey is the key of an attempt in a context.
 type contextKey struct{}
@@ -59,7 +67,7 @@
 func Track(ctx context.Context) *Attempt {
 	a, ok := ctx.Value(contextKey{}).(*Attempt)
 	if !ok {
-		a = New(nil)
+		a = New(0, nil)
 	}
 	a.transition(untracked, pending)
 	return a
@@ -72,7 +80,7 @@
 func (a *Attempt) is(s state) bool { return state(a.state.Load()) == s }
 
 // Begin is called right before the attempt is written, and again before it is written once more. It fails with
-// GivenUpError, the error of ctx or that of mayBegin if the attempt must not be sent any more.
+// GivenUpError, LateError, the error of ctx or that of mayBegin if the attempt must not be sent any more.
 func (a *Attempt) Begin(ctx context.Context) error {
 	if err := a.check(ctx); err != nil {
 		a.GiveUp()
@@ -84,14 +92,13 @@
 	return &GivenUpError{}
 }
 
-// check returns why an attempt must not begin now. In a process that was paused, the timer of ctx may not have
-// fired yet.
+// check returns why an attempt must not begin now.
 func (a *Attempt) check(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
-		return context.DeadlineExceeded
+	if left, limited := a.TimeLeft(ctx); limited && left <= 0 {
+		return &LateError{}
 	}
 	if a.mayBegin == nil {
 		return nil
@@ -99,6 +106,16 @@
 	return a.mayBegin()
 }
 
+// TimeLeft returns in which time the attempt must be written, negative if that has passed; false means that there is
+// no bound. In a process that was paused, the timer of ctx may not have fired yet.
+func (a *Attempt) TimeLeft(ctx context.Context) (time.Duration, bool) {
+	sendBy := a.sendBy
+	if deadline, ok := ctx.Deadline(); ok && (sendBy.IsZero() || deadline.Before(sendBy)) {
+		sendBy = deadline
+	}
+	return time.Until(sendBy), !sendBy.IsZero()
+}
+
 // GiveUp keeps the attempt from being sent, and reports whether nothing of it was or will be. It returns false if the
 // attempt has begun or is not tracked.
 func (a *Attempt) GiveUp() bool { return a.transition(pending, givenUp) || a.is(givenUp) }
@@ -112,6 +129,12 @@
 // Error returns a text without details.
 func (*GivenUpError) Error() string { return "given up before it was sent" }
 
+// LateError means that the time by which an attempt had to be written has passed.
+type LateError struct{}
+
+// Error returns a text without details.
+func (*LateError) Error() string { return "waited too long before it was sent" }
+
 // NotSentError means that nothing of a call was sent.
 type NotSentError struct {
 	Call  string
--- a/internal/fulmarattempt/attempt_test.go
+++ b/internal/fulmarattempt/attempt_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestAttemptThatWasGivenUpDoesNotBegin(t *testing.T) {
-	ctx := NewContext(context.Background(), New(nil))
+	ctx := NewContext(context.Background(), New(0, nil))
 	a := Track(ctx)
 	quicktest.Assert(t, a.GiveUp(), quicktest.IsTrue)
 	var given *GivenUpError
@@ -28,12 +28,12 @@
 }
 
 func TestAttemptThatNobodyTracksIsNotCalledUnsent(t *testing.T) {
-	quicktest.Assert(t, New(nil).GiveUp(), quicktest.IsFalse)
+	quicktest.Assert(t, New(0, nil).GiveUp(), quicktest.IsFalse)
 }
 
 func TestAttemptDoesNotBeginOnceItMustNot(t *testing.T) {
 	refusal := errors.New("too late")
-	a := Track(NewContext(context.Background(), New(func() error { return refusal })))
+	a := Track(NewContext(context.Background(), New(0, func() error { return refusal })))
 	quicktest.Assert(t, errors.Is(a.Begin(context.Background()), refusal), quicktest.IsTrue)
 	quicktest.Assert(t, a.GiveUp(), quicktest.IsTrue)
 }
@@ -45,7 +45,16 @@
 
 func TestAttemptOfPausedProcessDoesNotBeginAfterItsDeadline(t *testing.T) {
 	err := Track(context.Background()).Begin(stoppedTimer{context.Background()})
-	quicktest.Assert(t, errors.Is(err, context.DeadlineExceeded), quicktest.IsTrue)
+	var late *LateError
+	quicktest.Assert(t, errors.As(err, &late), quicktest.IsTrue)
+}
+
+func TestAttemptThatWaitedTooLongDoesNotBegin(t *testing.T) {
+	a := Track(NewContext(context.Background(), New(time.Millisecond, nil)))
+	time.Sleep(2 * time.Millisecond)
+	var late *LateError
+	quicktest.Assert(t, errors.As(a.Begin(context.Background()), &late), quicktest.IsTrue)
+	quicktest.Assert(t, a.GiveUp(), quicktest.IsTrue)
 }
 
 func TestAttemptEitherBeginsOrIsGivenUp(t *testing.T) {
--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
@@ -85,7 +86,7 @@
 // newAttempt returns a function that sends a command once and counts that in a tally.
 func (t *term) newAttempt(command string, tally *attemptTally, send attempt) func(context.Context) (fulmarjob.CommandResult, error) {
 	return func(ctx context.Context) (fulmarjob.CommandResult, error) {
-		attempt := fulmarattempt.New(func() error { return t.checkMayExecute(command) })
+		attempt := t.newTimedAttempt(command, commandTimeout)
 		attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
 		defer cancel()
 		if err := t.checkMayExecute(command); err != nil {
@@ -101,6 +102,17 @@
 	}
 }
 
+// newTimedAttempt returns an attempt that must be written within a time, which continues while the VM is suspended.
+func (t *term) newTimedAttempt(command string, within fulmarclock.Millis) *fulmarattempt.Attempt {
+	sendBy := t.options.BootClock.Now() + within
+	return fulmarattempt.New(within.Duration(), func() error {
+		if t.options.BootClock.Now() > sendBy {
+			return &fulmarattempt.LateError{}
+		}
+		return t.checkMayExecute(command)
+	})
+}
+
 // renewLease renews an executor's lease. Hedged attempts request a response at once, as the first one
 // may wait at the executor for the end of a run, and acknowledge nothing, as an acknowledgement is
 // valid only for a short time.
@@ -115,17 +127,53 @@
 			return renewalResponse{command: c, result: fulmarjob.ResultUnknown}, err
 		}
 		n := int(attempts.Add(1))
+		if n == 1 && c.Acknowledged > 0 {
+			return t.acknowledge(attemptCtx, c)
+		}
 		sent := c
 		if n > 1 {
-			sent.Wait, sent.Acknowledged = 0, 0
+			sent = withoutAcknowledgement(c)
 		}
-		result, report, err := t.executorsFor(n).RenewLease(attemptCtx, sent.Target.Address, sent.Target.ID, sent.Token, sent.Acknowledged, sent.Deadline, sent.Wait)
-		return renewalResponse{sent, result, report}, err
+		attempt := t.newTimedAttempt("hold", c.Wait+renewalGrace)
+		return t.sendRenewal(fulmarattempt.NewContext(attemptCtx, attempt), n, sent)
 	}, func(r renewalResponse, err error) bool { return hasResult(r.result, err) })
 	t.recordResult("hold", c.Target.ID, response.result, err)
 	t.send(renewalCompleted{command: response.command, sent: started, result: response.result, report: response.report})
 }
 
+// acknowledge sends a renewal that acknowledges ends. If it waits too long before it is written, it is given up, and a
+// renewal without the acknowledgement is sent in its place.
+func (t *term) acknowledge(ctx context.Context, c fulmarsched.RenewCommand) (renewalResponse, error) {
+	attempt := t.newTimedAttempt("hold", acknowledgementSendTimeout)
+	attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
+	defer cancel()
+	timer := t.options.Clock.AfterFunc(acknowledgementSendTimeout, func() {
+		if attempt.GiveUp() || !attempt.HasBegun() {
+			cancel()
+		}
+	})
+	defer timer.Stop()
+	response, err := t.sendRenewal(attemptCtx, 1, c)
+	if response.result.IsAnswer() || attempt.HasBegun() || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
+		return response, err
+	}
+	t.options.Metrics.Count("late_acknowledgements", "given-up")
+	attempt = t.newTimedAttempt("hold", renewalGrace)
+	return t.sendRenewal(fulmarattempt.NewContext(ctx, attempt), 1, withoutAcknowledgement(c))
+}
+
+// withoutAcknowledgement returns a renewal that acknowledges nothing and requests a response at once.
+func withoutAcknowledgement(c fulmarsched.RenewCommand) fulmarsched.RenewCommand {
+	c.Wait, c.Acknowledged = 0, 0
+	return c
+}
+
+// sendRenewal sends the n-th attempt of a renewal.
+func (t *term) sendRenewal(ctx context.Context, n int, c fulmarsched.RenewCommand) (renewalResponse, error) {
+	result, report, err := t.executorsFor(n).RenewLease(ctx, c.Target.Address, c.Target.ID, c.Token, c.Acknowledged, c.Deadline, c.Wait)
+	return renewalResponse{c, result, report}, err
+}
+
 // executorsFor returns the path of the n-th attempt of a command: the first goes through
 // other members, further ones go directly, because a member may be unreachable.
 func (t *term) executorsFor(n int) Executors {
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -39,6 +39,9 @@
 	// renewalGrace is added to the time that a lease renewal may wait at the executor for
 	// the end of a run.
 	renewalGrace = 1000 * fulmarclock.Millis(1)
+	// acknowledgementSendTimeout is the time in which a renewal that acknowledges ends must be written. An
+	// acknowledgement relies on a report: the executor must not have restarted since.
+	acknowledgementSendTimeout = 100 * fulmarclock.Millis(1)
 	// maxRenewalAttempts is the most hedged attempts of a lease renewal.
 	maxRenewalAttempts = 2
 	// fleetTimeout is the timeout of a call about VMs.
--- a/internal/fulmarowner/lateacknowledgement_test.go
+++ b/internal/fulmarowner/lateacknowledgement_test.go
@@ -1,13 +1,14 @@
-//go:build knownred
-
 package fulmarowner
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 
 	"github.com/frankban/quicktest"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
@@ -51,3 +52,47 @@
 	h.advanceBy(4000)
 	h.c.Assert(slow.lateCount(), quicktest.Equals, 0)
 }
+
+// slowAnswers writes each renewal that acknowledges ends at once, and has its response after a delay.
+type slowAnswers struct {
+	slowRenewals
+	givenUp atomic.Int32
+}
+
+func (s *slowAnswers) RenewLease(ctx context.Context, address, id string, token, acknowledged int64, deadline, wait fulmarclock.Millis) (fulmarjob.CommandResult, fulmarjob.Report, error) {
+	if acknowledged == 0 {
+		return s.fakeExecutors.RenewLease(ctx, address, id, token, acknowledged, deadline, wait)
+	}
+	if err := fulmarattempt.Track(ctx).Begin(ctx); err != nil {
+		return fulmarjob.ResultUnknown, fulmarjob.Report{}, err
+	}
+	result, report, err := s.slowRenewals.RenewLease(ctx, address, id, token, acknowledged, deadline, wait)
+	if err != nil {
+		s.givenUp.Add(1)
+	}
+	return result, report, err
+}
+
+func TestAcknowledgementThatWasWrittenKeepsItsResponse(t *testing.T) {
+	h := newHarness(t)
+	slow := &slowAnswers{slowRenewals: slowRenewals{fakeExecutors: h.executors, delay: 250}}
+	h.candidate.options.Relay, h.candidate.options.Executors = slow, slow
+	h.start()
+	h.acceptRunning(jobA)
+	h.acceptRunning(jobB)
+	h.executors.finish(jobA)
+	h.waitFor("the end is acknowledged", func() bool { return slow.lateCount() > 0 })
+	h.c.Assert(slow.givenUp.Load(), quicktest.Equals, int32(0))
+}
+
+func TestAcknowledgementIsNotWrittenLongAfterItsReport(t *testing.T) {
+	h := newHarness(t)
+	owner := h.start()
+	attempt := owner.newTimedAttempt("hold", acknowledgementSendTimeout)
+	ctx := fulmarattempt.NewContext(context.Background(), attempt)
+	fulmarattempt.Track(ctx)
+	h.bootClock.Advance(acknowledgementSendTimeout + 1)
+	var late *fulmarattempt.LateError
+	h.c.Assert(errors.As(attempt.Begin(ctx), &late), quicktest.IsTrue)
+	h.c.Assert(attempt.GiveUp(), quicktest.IsTrue)
+}
--- a/internal/fulmarowner/slowattempt_test.go
+++ b/internal/fulmarowner/slowattempt_test.go
@@ -73,10 +73,10 @@
 
 func TestAttemptThatBeginsAfterResultIsNotSent(t *testing.T) {
 	tally := newAttemptTally()
-	n, ok := tally.begin(fulmarattempt.New(nil), func() {})
+	n, ok := tally.begin(fulmarattempt.New(0, nil), func() {})
 	quicktest.Assert(t, n == 1 && ok, quicktest.IsTrue)
 	tally.close(fulmarjob.ResultDone)
-	_, ok = tally.begin(fulmarattempt.New(nil), func() {})
+	_, ok = tally.begin(fulmarattempt.New(0, nil), func() {})
 	quicktest.Assert(t, ok, quicktest.IsFalse)
 }
 
@@ -99,13 +99,13 @@
 		t.Run(row.name, func(t *testing.T) {
 			tally := newAttemptTally()
 			for _, result := range row.ended {
-				a := fulmarattempt.New(nil)
+				a := fulmarattempt.New(0, nil)
 				tally.begin(a, func() {})
 				tally.end(a, result)
 			}
 			canceled := 0
 			for i := range row.sent + row.waiting {
-				a := fulmarattempt.New(nil)
+				a := fulmarattempt.New(0, nil)
 				ctx := fulmarattempt.NewContext(context.Background(), a)
 				tally.begin(a, func() { canceled++ })
 				fulmarattempt.Track(ctx)
