fulmarsoak: a soak with slow members and cuts that hold calls back

The soaks' cuts drop what is sent to an executor or hold answers only, and members are fast, so that a start crosses a restart of its executor only if the rig makes it late.

Change: TestSlowSoak has members built with the race detector on one thread, 24 VMs, restarts in 20 to 70 ms, singly, twice in a row and behind cuts, pauses of members and of the owner. The proxy's mode held keeps the bytes of both directions back and delivers them after the cut; they are lost if their sender has reset the connection. Connections are opened only after the cut, and are reset after the members' time for that. heldHalf does so for half of the connections. No call is made late. Each seed reports near misses from the members' logs, with -soak.logs also as a JSON line; faults are logged there, too. -soak.race builds the members of any soak with the race detector.

--- a/internal/fulmarsoak/check_test.go
+++ b/internal/fulmarsoak/check_test.go
@@ -90,7 +90,8 @@
 // checkRuns compares the runs at the executors with the responses to callers.
 func (s *soak) checkRuns() {
 	runs := s.rig.Runs()
-	for _, line := range fulmarrig.FindViolations(runs) {
+	s.violations = fulmarrig.FindViolations(runs)
+	for _, line := range s.violations {
 		s.t.Error(line)
 	}
 	s.checkShownJobs(runs)
--- a/internal/fulmarsoak/connection_test.go
+++ b/internal/fulmarsoak/connection_test.go
@@ -35,10 +35,12 @@
 const (
 	answerTimeout = 8 * time.Second
 	// resetWait is the wait for the reset by a server that has ended its responses first.
-	resetWait    = time.Second
-	resetPoll    = 5 * time.Millisecond
-	tcpClosed    = 7 // TCP_CLOSE of the kernel's connection states
-	maxHeadBytes = 512
+	resetWait = time.Second
+	resetPoll = 5 * time.Millisecond
+	// The kernel's connection states.
+	tcpEstablished = 1
+	tcpClosed      = 7
+	maxHeadBytes   = 512
 )
 
 // openConnection is a caller's keep-alive connection that never retries a request by itself.
@@ -105,17 +107,21 @@
 	return lost
 }
 
-func (c *openConnection) isReset() bool {
-	raw, err := c.connection.SyscallConn()
+func (c *openConnection) isReset() bool { return connectionState(c.connection) == tcpClosed }
+
+// connectionState returns the kernel's state of a TCP connection, 0 if it can't be read.
+func connectionState(c net.Conn) uint8 {
+	raw, err := c.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
-	reset := false
+	var state uint8
 	_ = raw.Control(func(descriptor uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-		reset = err == nil && info.State == tcpClosed
+		if info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
 	})
-	return reset
+	return state
 }
 
 // rawRequest returns the bytes of a caller's request, with the key of the customer that has the path's job.
--- a/internal/fulmarsoak/fault_test.go
+++ b/internal/fulmarsoak/fault_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -42,6 +44,15 @@
 	}}
 }
 
+// pauseFault returns a fault that pauses a member.
+func pauseFault(name string, choose func(s *soak) *member) fault {
+	return fault{name, func(s *soak) func() {
+		m := choose(s)
+		s.logFault("paused", m.name)
+		return m.pauses.begin(func() { m.signal(syscall.SIGSTOP) }, func() { m.signal(syscall.SIGCONT) })
+	}}
+}
+
 // overlap counts the faults of one kind in progress, of which the last one to end stops the effect.
 type overlap struct {
 	mu    sync.Mutex
@@ -88,10 +99,7 @@
 	signalFault("kill", syscall.SIGKILL),
 	signalFault("stop", syscall.SIGTERM),
 	signalFault("reload", syscall.SIGHUP),
-	{"pause", func(s *soak) func() {
-		m := s.randomMember()
-		return m.pauses.begin(func() { m.signal(syscall.SIGSTOP) }, func() { m.signal(syscall.SIGCONT) })
-	}},
+	pauseFault("pause", (*soak).randomMember),
 	{"kill all", func(s *soak) func() {
 		for _, m := range s.members {
 			m.signal(syscall.SIGKILL)
@@ -135,11 +143,22 @@
 // injectFaults injects random faults, which may overlap, until ctx ends.
 func (s *soak) injectFaults(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(minFaultInterval + time.Duration(s.random.Int64N(int64(maxFaultInterval-minFaultInterval))))
+		interval := minFaultInterval + time.Duration(s.random.Int64N(int64(maxFaultInterval-minFaultInterval)))
+		time.Sleep(interval / max(s.scenario.faultRate, 1))
 		f := s.scenario.faults[s.random.IntN(len(s.scenario.faults))]
 		duration := minFaultDuration + time.Duration(s.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		s.logFault(f.name, duration)
 		end := f.inject(s)
 		s.faultCounts[f.name]++
 		time.AfterFunc(duration, end)
 	}
 }
+
+// logFault writes a line beside the members' logs if they are kept.
+func (s *soak) logFault(name string, details any) {
+	if *logs == "" {
+		return
+	}
+	line := fmt.Sprintf("time=%s %s %v\n", time.Now().Format("15:04:05.000"), name, details)
+	appendLine(filepath.Join(s.directory, "faults.log"), line)
+}
--- a/internal/fulmarsoak/member_test.go
+++ b/internal/fulmarsoak/member_test.go
@@ -18,6 +18,7 @@
 	settings      string
 	log           string
 	binary        string
+	environment   []string
 	callerAddress string
 	storeProxy    *proxy
 	fleetProxy    *proxy
@@ -34,7 +35,7 @@
 
 // startMember writes a member's settings file and starts the member.
 func (s *soak) startMember(index int) *member {
-	m := &member{name: fmt.Sprintf("member-%d", index+1), binary: s.binary, stopped: make(chan struct{})}
+	m := &member{name: fmt.Sprintf("member-%d", index+1), binary: s.binary, environment: s.scenario.environment, stopped: make(chan struct{})}
 	var err error
 	m.storeProxy, err = newProxy(s.rig.StoreAddress(), &s.affected)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
@@ -63,8 +64,10 @@
 	}
 }
 
-func (m *member) appendLog(line string) {
-	file, err := os.OpenFile(m.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+func (m *member) appendLog(line string) { appendLine(m.log, line) }
+
+func appendLine(path, line string) {
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err == nil {
 		_, _ = file.WriteString(line)
 		_ = file.Close()
@@ -85,6 +88,7 @@
 	defer file.Close()
 	command := exec.Command(m.binary, "--settings", m.settings)
 	command.Stdout, command.Stderr = file, file
+	command.Env = append(os.Environ(), m.environment...)
 	if err := command.Start(); err != nil {
 		return false
 	}
--- a/internal/fulmarsoak/restart_test.go
+++ b/internal/fulmarsoak/restart_test.go
@@ -59,7 +59,10 @@
 	return r
 }
 
-func (s *soak) restart(r restart) { s.rig.Restart(r.vm, r.downtime, r.publication) }
+func (s *soak) restart(r restart) {
+	s.logFault("restarted", r)
+	s.rig.Restart(r.vm, r.downtime, r.publication)
+}
 
 func (s *soak) randomVM() string {
 	vms := s.rig.VMs("work")
@@ -110,6 +113,17 @@
 	}},
 }
 
+// executorFaults harm the links to executors.
+var executorFaults = []fault{
+	proxyFault("executor delayed", delayed, randomExecutorProxy),
+	proxyFault("executor blackhole", blackhole, randomExecutorProxy),
+	proxyFault("executor one way", oneWay, randomExecutorProxy),
+	{"executor reset", func(s *soak) func() {
+		randomExecutorProxy(s).reset()
+		return func() {}
+	}},
+}
+
 var lateCallFault = fault{"late calls", func(s *soak) func() {
 	return s.lateCalls.begin()
 }}
@@ -151,15 +165,7 @@
 	signalFault("kill", syscall.SIGKILL),
 	signalFault("reload", syscall.SIGHUP),
 	proxyFault("store one way", oneWay, randomStoreProxy),
-	proxyFault("executor delayed", delayed, randomExecutorProxy),
-	proxyFault("executor blackhole", blackhole, randomExecutorProxy),
-	proxyFault("executor one way", oneWay, randomExecutorProxy),
-	{"executor reset", func(s *soak) func() {
-		randomExecutorProxy(s).reset()
-		return func() {}
-	}},
-	configurationFault,
-})
+}, executorFaults, []fault{configurationFault})
 
 // TestRestartSoak guards against completed tasks that run again because their executors restart under their IDs.
 func TestRestartSoak(t *testing.T) {
--- a/internal/fulmarsoak/soak_test.go
+++ b/internal/fulmarsoak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -27,9 +28,11 @@
 	seeds    = flag.Int("soak.seeds", 2, "number of seeds to run")
 	planned  = flag.Int("soak.planned", 1, "number of seeds with planned work only to run")
 	restarts = flag.Int("soak.restarts", 1, "number of seeds with short runs and restarts of executors to run")
+	slow     = flag.Int("soak.slow", 1, "number of seeds with slow members to run")
 	first    = flag.Uint64("soak.first", 1, "first seed")
 	length   = flag.Duration("soak.length", 6*time.Second, "duration of fault injection per seed")
 	logs     = flag.String("soak.logs", "", "directory for the members' logs, kept after the test")
+	race     = flag.Bool("soak.race", false, "build the members with the race detector, which slows them down")
 )
 
 const (
@@ -74,6 +77,13 @@
 	crashInterval int
 	// The duration of a run lies between these bounds.
 	shortestRun, longestRun fulmarclock.Millis
+	// vms is the number of VMs with executors; 0 is poolVMs.
+	vms int
+	// faultRate divides the intervals between faults; 0 is 1.
+	faultRate time.Duration
+	// isSlow means that members are built with the race detector; environment is added to theirs.
+	isSlow      bool
+	environment []string
 }
 
 // soak is the test of one seed.
@@ -107,6 +117,8 @@
 	// shownCompleted are the times from which accepted jobs were shown as completed.
 	shownCompleted       map[string]fulmarclock.Millis
 	configurationVersion int
+	// violations describe the guarantees that runs at the executors violated.
+	violations []string
 	// endings counts the requests on held connections by how they ended.
 	endings map[ending]int
 	// wrongKeys counts the requests with a wrong key by the status of the response.
@@ -121,7 +133,7 @@
 func runSeeds(t *testing.T, sc scenario, count int) {
 	directory := t.TempDir()
 	binary := filepath.Join(directory, "fulmarnoded")
-	build := exec.Command("go", "build", "-o", binary, "github.com/fulmardrum/fulmardrum/cmd/fulmarnoded")
+	build := exec.Command("go", "build", fmt.Sprintf("-race=%t", *race || sc.isSlow), "-o", binary, "github.com/fulmardrum/fulmardrum/cmd/fulmarnoded")
 	output, err := build.CombinedOutput()
 	quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", output))
 	for i := range count {
@@ -150,7 +162,7 @@
 		CrashesExecutor: s.crashesExecutor, CrashDowntime: crashDowntime,
 		Demand: func(string) int64 { return taskMilliCPU }, CapacityNotice: capacityNotice,
 		Pools: []fulmarrig.Pool{
-			{Service: "work", VMs: poolVMs, MilliCPU: vmMilliCPU, MemoryMB: vmMemoryMB, VMsPerRack: 2}, {Service: "spare", VMs: 2, Standby: true},
+			{Service: "work", VMs: cmp.Or(sc.vms, poolVMs), MilliCPU: vmMilliCPU, MemoryMB: vmMemoryMB, VMsPerRack: 2}, {Service: "spare", VMs: 2, Standby: true},
 		},
 	})
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -224,6 +236,7 @@
 	s.cancelCrashing()
 	s.awaitLateCalls()
 	s.checkRuns()
+	s.reportNearMisses()
 	s.t.Logf("accepted %d, refused %d, unknown %d; runs %d; crashes by tasks %d; faults %v; %d connections and blocks of bytes affected; requests on held connections %v; with wrong keys, by status %v",
 		len(s.accepted), len(s.refused), s.unknown, len(s.rig.Runs()), countCrashes(s.rig.Runs()), s.faultCounts, s.affected.Load(), s.endings, s.wrongKeys)
 }
