fulmarsoak: restart executors again as a short cut ends

An attempt crosses a restart if its connection is opened during a cut that ends within the time for that, and the owner learns of the incarnation between by other connections.

Change: the restarts behind cuts come once the links are cut and again near the end of the cut, which lasts 200 to 800 ms. The near misses have a file of their own.

--- a/internal/fulmarsoak/doc.go
+++ b/internal/fulmarsoak/doc.go
@@ -8,6 +8,7 @@
 //	go test ./internal/fulmarsoak -soak.seeds 50 -soak.first 100 -soak.length 20s -timeout 1h
 //	go test ./internal/fulmarsoak -run TestPlannedSoak -soak.planned 50 -soak.length 20s -timeout 1h
 //	go test ./internal/fulmarsoak -run 'TestRestartSoak|TestLateCallSoak' -soak.restarts 50 -timeout 1h
+//	go test ./internal/fulmarsoak -run TestSlowSoak -soak.slow 50 -soak.length 10s -timeout 1h
 //	go test ./internal/fulmarsoak -soak.seeds 1 -soak.first 17 -soak.logs DIR -v
 //
 // Signals kill, stop, pause and reload members. Their connections to the store, the VM API
@@ -25,6 +26,13 @@
 // also lets calls to executors get no response and be executed seconds later, by whichever incarnation
 // serves then.
 //
+// TestSlowSoak has members that are built with the race detector and run on one thread, more VMs, and executors that
+// restart in 20 to 70 ms, also twice in a row. Its cuts hold the bytes of both directions back and deliver them
+// when they end, unless their sender has reset the connection. No call is made late. It needs seconds for the build of
+// the members.
+//
+// Each seed logs near misses: lines of the members' logs that came before violated guarantees in the past.
+//
 // TestPlannedSoak only stops, reloads and reconfigures members, and changes the capacity of
 // executors. Its callers also hold connections open, some without a request so far, and use
 // them until the member has closed them or its process has ended. A request that the member
--- /dev/null
+++ b/internal/fulmarsoak/nearmiss_test.go
@@ -0,0 +1,70 @@
+package fulmarsoak
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/frankban/quicktest"
+)
+
+// nearMisses count what came before violated guarantees in the past, by the lines of the members' logs.
+type nearMisses struct {
+	Scenario   string         `json:"scenario"`
+	Seed       string         `json:"seed"`
+	Runs       int            `json:"runs"`
+	Counts     map[string]int `json:"counts"`
+	Violations []string       `json:"violations,omitempty"`
+}
+
+// nearMissLines are the beginnings of the messages that are counted.
+var nearMissLines = []string{
+	"run ended as done after its task was placed again",
+	"acknowledging the end of a run although a start of its task may still be executed",
+	"task placed although a start of an earlier run may still be executed",
+	"stopping unexpected run",
+}
+
+// reportNearMisses logs the near misses of the seed, and appends them to a file beside the kept logs.
+func (s *soak) reportNearMisses() {
+	n := nearMisses{Scenario: s.scenario.name, Seed: s.t.Name(), Runs: len(s.rig.Runs()), Counts: map[string]int{}, Violations: s.violations}
+	for _, m := range s.members {
+		countNearMisses(n.Counts, m.log)
+	}
+	s.t.Logf("near misses %v, violations %d", n.Counts, len(n.Violations))
+	if *logs == "" {
+		return
+	}
+	line, err := json.Marshal(n)
+	quicktest.Assert(s.t, err, quicktest.IsNil)
+	appendLine(filepath.Join(*logs, "near-misses.jsonl"), string(line)+"\n")
+}
+
+// countNearMisses counts the messages of a log; those with a reason separately for each.
+func countNearMisses(counts map[string]int, path string) {
+	file, err := os.Open(path)
+	if err != nil {
+		return
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		for _, message := range nearMissLines {
+			if strings.Contains(lines.Text(), message) {
+				counts[message+reasonIn(lines.Text())]++
+			}
+		}
+	}
+}
+
+// reasonIn returns the quoted value of the field "why" in a log line, if there is one.
+func reasonIn(line string) string {
+	_, rest, found := strings.Cut(line, `why="`)
+	if !found {
+		return ""
+	}
+	reason, _, _ := strings.Cut(rest, `"`)
+	return ": " + reason
+}
--- a/internal/fulmarsoak/slow_test.go
+++ b/internal/fulmarsoak/slow_test.go
@@ -1,31 +1,27 @@
 package fulmarsoak
 
 import (
-	"bufio"
-	"encoding/json"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/frankban/quicktest"
-
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 )
 
 const (
 	slowVMs     = 24
 	slowCallers = 14
-	// slowFaultRate gives as many faults for each VM as other soaks have.
-	slowFaultRate = 4
+	// slowFaultRate gives at least as many faults for each VM as other soaks have.
+	slowFaultRate = 5
 	// The downtime of a process that is started again at once lies between these bounds.
 	minProcessDowntime = 20 * fulmarclock.Millis(1)
 	maxProcessDowntime = 70 * fulmarclock.Millis(1)
-	shortestSlowRun    = 200 * fulmarclock.Millis(1)
-	longestSlowRun     = 700 * fulmarclock.Millis(1)
+	// A short cut mostly ends before members give up opening a connection.
+	minShortCut     = 200 * time.Millisecond
+	maxShortCut     = 800 * time.Millisecond
+	shortestSlowRun = 200 * fulmarclock.Millis(1)
+	longestSlowRun  = 700 * fulmarclock.Millis(1)
 )
 
 // quickRestart returns a restart whose process is back at once.
@@ -35,12 +31,11 @@
 	return r
 }
 
-// restartTwice restarts the executor of a VM twice in a row after a wait.
-func (s *soak) restartTwice(vm string, wait time.Duration) {
-	second := wait + maxProcessDowntime.Duration() + draw(s.random, maxSeriesGap)
-	for _, at := range []time.Duration{wait, second} {
+// restartAfter restarts the executor of a VM after each of the waits.
+func (s *soak) restartAfter(vm string, waits ...time.Duration) {
+	for _, wait := range waits {
 		r := s.quickRestart(vm)
-		time.AfterFunc(at, func() { s.restart(r) })
+		time.AfterFunc(wait, func() { s.restart(r) })
 	}
 }
 
@@ -51,34 +46,30 @@
 		return func() {}
 	}},
 	{"two quick restarts", func(s *soak) func() {
-		s.restartTwice(s.randomVM(), 0)
+		s.restartAfter(s.randomVM(), 0, maxProcessDowntime.Duration()+draw(s.random, maxSeriesGap))
 		return func() {}
 	}},
-	restartBehindCut("quick restart behind a held cut", held),
-	restartBehindCut("quick restart behind a half cut", heldHalf),
+	restartBehindCut("quick restarts behind a held cut", held),
+	restartBehindCut("quick restarts behind a half cut", heldHalf),
+	restartBehindCut("quick restarts behind a half cut", heldHalf),
 }
 
-// restartBehindCut returns a fault that restarts an executor once or twice while the links to it are cut.
+// restartBehindCut returns a fault that cuts the links to an executor for a short time and restarts it once it is cut
+// and again shortly before or after the end of the cut.
 func restartBehindCut(name string, m mode) fault {
 	return fault{name, func(s *soak) func() {
 		vm := s.randomVM()
-		end := func() {}
+		cut := minShortCut + draw(s.random, maxShortCut-minShortCut)
 		if p := s.executorProxy(vm); p != nil {
-			end = p.begin(m)
-		}
-		wait := draw(s.random, maxRestartInCut)
-		if s.random.IntN(2) == 0 {
-			s.restartTwice(vm, wait)
-			return end
+			time.AfterFunc(cut, p.begin(m))
 		}
-		r := s.quickRestart(vm)
-		time.AfterFunc(wait, func() { s.restart(r) })
-		return end
+		s.restartAfter(vm, draw(s.random, minShortCut/2), cut+draw(s.random, minShortCut)-minShortCut*3/4)
+		return func() {}
 	}}
 }
 
 // slowFaults hold calls to executors up in the members and on the links, without a late call of the executors' making.
-var slowFaults = slices.Concat(restartFaults, slices.Repeat(quickRestartFaults, 3), executorFaults, []fault{
+var slowFaults = slices.Concat(restartFaults, slices.Repeat(quickRestartFaults, 4), executorFaults, []fault{
 	proxyFault("executor held", held, randomExecutorProxy),
 	proxyFault("executor half held", heldHalf, randomExecutorProxy),
 	pauseFault("pause", (*soak).randomMember),
@@ -98,62 +89,3 @@
 	sc.isSlow, sc.environment = true, []string{"GOMAXPROCS=1"}
 	runSeeds(t, sc, *slow)
 }
-
-// nearMisses count what came before violated guarantees in the past, by the lines of the members' logs.
-type nearMisses struct {
-	Scenario   string         `json:"scenario"`
-	Seed       string         `json:"seed"`
-	Runs       int            `json:"runs"`
-	Counts     map[string]int `json:"counts"`
-	Violations []string       `json:"violations,omitempty"`
-}
-
-// nearMissLines are the beginnings of the messages that are counted.
-var nearMissLines = []string{
-	"run ended as done after its task was placed again",
-	"acknowledging the end of a run although a start of its task may still be executed",
-	"task placed although a start of an earlier run may still be executed",
-	"stopping unexpected run",
-}
-
-// reportNearMisses logs the near misses of the seed, and appends them to a file beside the kept logs.
-func (s *soak) reportNearMisses() {
-	n := nearMisses{Scenario: s.scenario.name, Seed: s.t.Name(), Runs: len(s.rig.Runs()), Counts: map[string]int{}, Violations: s.violations}
-	for _, m := range s.members {
-		countNearMisses(n.Counts, m.log)
-	}
-	s.t.Logf("near misses %v, violations %d", n.Counts, len(n.Violations))
-	if *logs == "" {
-		return
-	}
-	line, err := json.Marshal(n)
-	quicktest.Assert(s.t, err, quicktest.IsNil)
-	appendLine(filepath.Join(*logs, "near-misses.jsonl"), string(line)+"\n")
-}
-
-// countNearMisses counts the messages of a log; those with a reason separately for each.
-func countNearMisses(counts map[string]int, path string) {
-	file, err := os.Open(path)
-	if err != nil {
-		return
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		for _, message := range nearMissLines {
-			if strings.Contains(lines.Text(), message) {
-				counts[message+reasonIn(lines.Text())]++
-			}
-		}
-	}
-}
-
-// reasonIn returns the quoted value of the field "why" in a log line, if there is one.
-func reasonIn(line string) string {
-	_, rest, found := strings.Cut(line, `why="`)
-	if !found {
-		return ""
-	}
-	reason, _, _ := strings.Cut(rest, `"`)
-	return ": " + reason
-}
