fulmarrig: a start with a higher number leaves a lower run in progress

Cause: an executor kept one run a task.

Change: runs in progress are kept by task and number. PROTOCOL.md rejects lower numbers only, so both run until they end or are stopped; two at once are a violation as before.

--- a/internal/fulmarstandin/fulmarrig/capacity.go
+++ b/internal/fulmarstandin/fulmarrig/capacity.go
@@ -47,8 +47,8 @@
 		return
 	}
 	run.Load = demand(run.Task)
-	for task := range e.running {
-		run.Load += demand(task)
+	for key := range e.running {
+		run.Load += demand(key.task)
 	}
 	for i, c := range e.capacities {
 		replaced := i+1 < len(e.capacities) && e.capacities[i+1].at+e.rig.options.CapacityNotice < run.Started
--- a/internal/fulmarstandin/fulmarrig/crash.go
+++ b/internal/fulmarstandin/fulmarrig/crash.go
@@ -36,7 +36,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.endExpiredRuns()
-	active := e.running[run.Task]
+	active := e.running[runKey{run.Task, run.Number}]
 	return active != nil && active.run == run
 }
 
--- a/internal/fulmarstandin/fulmarrig/executor.go
+++ b/internal/fulmarstandin/fulmarrig/executor.go
@@ -35,7 +35,7 @@
 	fencingToken   int64
 	leaseExpiry    fulmarclock.Millis
 	leaseTimer     fulmarclock.Timer
-	running        map[string]*activeRun
+	running        map[runKey]*activeRun
 	highestRuns    map[string]int64
 	unacknowledged []finishedRun
 	lastSequence   int64
@@ -63,6 +63,12 @@
 	return [5]any{f.sequence, f.run.Task, f.run.Number, string(f.outcome), ""}
 }
 
+// runKey identifies a run. A start with a higher number does not end a run of its task that is in progress.
+type runKey struct {
+	task   string
+	number int64
+}
+
 // activeRun is a run in progress and the timer that ends it.
 type activeRun struct {
 	run   *Run
@@ -72,7 +78,7 @@
 func newExecutor(r *Rig, v *vm, id string) *executor {
 	return &executor{
 		rig: r, id: id, vm: v.name, incarnation: r.options.Clock.Unix(), startTime: r.options.Clock.Now(),
-		running: map[string]*activeRun{}, highestRuns: map[string]int64{}, changed: make(chan struct{}),
+		running: map[runKey]*activeRun{}, highestRuns: map[string]int64{}, changed: make(chan struct{}),
 		capacities: []capacityChange{{at: r.options.Clock.Now(), milliCPU: v.pool.MilliCPU}},
 	}
 }
@@ -142,9 +148,8 @@
 	if !e.checkToken(w, c.FencingToken) {
 		return
 	}
-	active := e.running[c.Task]
 	switch {
-	case active != nil && active.run.Number == c.RunNumber:
+	case e.running[runKey{c.Task, c.RunNumber}] != nil:
 	case c.Deadline < e.now():
 		writeJSON(w, http.StatusConflict, commandResult{e.now(), "late"})
 		return
@@ -175,7 +180,8 @@
 	e.recordLoad(run)
 	e.rig.recordStart(run)
 	e.highestRuns[c.Task] = c.RunNumber
-	e.running[c.Task] = &activeRun{run: run, timer: e.rig.options.Clock.AfterFunc(duration, func() { e.endIfRunning(c.Task, c.RunNumber, outcome) })}
+	key := runKey{c.Task, c.RunNumber}
+	e.running[key] = &activeRun{run: run, timer: e.rig.options.Clock.AfterFunc(duration, func() { e.endIfRunning(key, outcome) })}
 	e.extendLease(c.Deadline)
 	e.scheduleCrash(run)
 }
@@ -205,27 +211,27 @@
 	if e.leaseExpiry > 0 {
 		e.lastLapse = e.startTime + e.leaseExpiry
 	}
-	for task := range e.running {
-		e.endRun(task, fulmarjob.RunLeaseExpired, e.startTime+e.leaseExpiry)
+	for key := range e.running {
+		e.endRun(key, fulmarjob.RunLeaseExpired, e.startTime+e.leaseExpiry)
 	}
 }
 
-// endIfRunning ends a run, unless it has already ended or another run of its task has started.
-func (e *executor) endIfRunning(task string, run int64, outcome fulmarjob.RunOutcome) {
+// endIfRunning ends a run, unless it has already ended.
+func (e *executor) endIfRunning(key runKey, outcome fulmarjob.RunOutcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.endExpiredRuns()
-	if active := e.running[task]; active != nil && active.run.Number == run {
-		e.endRun(task, outcome, e.rig.options.Clock.Now())
+	if e.running[key] != nil {
+		e.endRun(key, outcome, e.rig.options.Clock.Now())
 	}
 }
 
-// endRun ends the run of a task at a given time and lists it as unacknowledged. The caller
+// endRun ends a run at a given time and lists it as unacknowledged. The caller
 // holds e.mu.
-func (e *executor) endRun(task string, outcome fulmarjob.RunOutcome, at fulmarclock.Millis) {
-	active := e.running[task]
+func (e *executor) endRun(key runKey, outcome fulmarjob.RunOutcome, at fulmarclock.Millis) {
+	active := e.running[key]
 	active.timer.Stop()
-	delete(e.running, task)
+	delete(e.running, key)
 	e.rig.recordEnd(active.run, at, string(outcome))
 	e.lastSequence++
 	e.unacknowledged = append(e.unacknowledged, finishedRun{sequence: e.lastSequence, run: active.run, outcome: outcome})
@@ -238,10 +244,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashed = true
-	for task, active := range e.running {
+	for key, active := range e.running {
 		active.timer.Stop()
 		e.rig.recordEnd(active.run, e.rig.options.Clock.Now(), outcome)
-		delete(e.running, task)
+		delete(e.running, key)
 	}
 	if e.leaseTimer != nil {
 		e.leaseTimer.Stop()
@@ -261,9 +267,10 @@
 		return
 	}
 	e.highestRuns[c.Task] = max(e.highestRuns[c.Task], c.RunNumber)
-	if active := e.running[c.Task]; active != nil && active.run.Number <= c.RunNumber {
-		number := active.run.Number
-		e.rig.options.Clock.AfterFunc(e.rig.options.StopDuration, func() { e.endIfRunning(c.Task, number, fulmarjob.RunStopped) })
+	for key := range e.running {
+		if key.task == c.Task && key.number <= c.RunNumber {
+			e.rig.options.Clock.AfterFunc(e.rig.options.StopDuration, func() { e.endIfRunning(key, fulmarjob.RunStopped) })
+		}
 	}
 	writeJSON(w, http.StatusOK, commandResult{ClockTime: e.now()})
 }
@@ -349,8 +356,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	rows := [][]any{}
-	for task, active := range e.running {
-		rows = append(rows, []any{task, active.run.Number, "", 100, 0})
+	for key := range e.running {
+		rows = append(rows, []any{key.task, key.number, "", 100, 0})
 	}
 	finished := [][5]any{}
 	for _, f := range e.unacknowledged[:min(len(e.unacknowledged), maxListedFinished)] {
--- a/internal/fulmarstandin/fulmarrig/restart_test.go
+++ b/internal/fulmarstandin/fulmarrig/restart_test.go
@@ -181,3 +181,19 @@
 	quicktest.Assert(t, runs[0].Late, quicktest.IsTrue)
 	quicktest.Assert(t, runs[0].Incarnation, quicktest.Equals, hold(t, rig, renewal{FencingToken: 9}).Born)
 }
+
+// TestHigherRunLeavesLowerOneInProgress guards against two runs at once of which the executor forgets one.
+func TestHigherRunLeavesLowerOneInProgress(t *testing.T) {
+	clock := fulmarclock.NewManual(1)
+	rig := startOneVM(t, clock, nil)
+	for number := range int64(2) {
+		start(t, rig, command{Task: "t", RunNumber: number + 1, Deadline: 5 * fulmarclock.Second, FencingToken: 9})
+		clock.Advance(defaultRunDuration / 2)
+	}
+	awaitTrue(func() bool { return rig.Runs()[0].Ended > 0 })
+	quicktest.Assert(t, hold(t, rig, renewal{FencingToken: 9}).Running, quicktest.HasLen, 1)
+	clock.Advance(defaultRunDuration / 2)
+	awaitTrue(func() bool { return rig.Runs()[1].Ended > 0 })
+	quicktest.Assert(t, hold(t, rig, renewal{FencingToken: 9}).Finished, quicktest.HasLen, 2)
+	quicktest.Assert(t, FindViolations(rig.Runs()), quicktest.HasLen, 1)
+}
