--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarhedge"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
@@ -43,45 +45,72 @@
 	return &fulmarjob.ExpiredAuthorityError{Call: command}
 }
 
-// start sends a start command and tracks how long the executor takes to respond.
+// start sends a start command and tracks how long the executor takes to respond. The attempts that have no
+// response by then go on: a start can be executed until all of them are answered.
 func (t *term) start(ctx context.Context, c fulmarsched.StartCommand) {
+	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
+	defer cancel()
 	started := t.options.Clock.Now()
-	result, attempts := t.sendHedged(ctx, "start", c.Target, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	tally := newAttemptTally()
+	result, wait, err := fulmarhedge.DoAll(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("start", tally, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Start(attemptCtx, c.Target.Address, c.Target.ID, c.Start)
-	})
+	}), hasResult)
+	attempts, result := tally.close(result)
+	t.recordResult("start", c.Target.ID, result, err)
 	latency := t.options.Clock.Now() - started
 	if result.IsAnswer() {
 		t.latency.Observe(latency)
 	}
 	t.options.Metrics.Observe("start_order", latency)
 	t.send(startCompleted{c, started, attempts, result})
+	wait()
+	if attempts > 1 && result.IsAnswer() && !tally.isAnyOpen() {
+		t.send(startSettled{c, result})
+	}
 }
 
 // stop sends a stop command.
 func (t *term) stop(ctx context.Context, c fulmarsched.StopCommand) {
-	result, _ := t.sendHedged(ctx, "stop", c.Target, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
+	defer cancel()
+	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("stop", newAttemptTally(), func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Stop(attemptCtx, c.Target.Address, c.Target.ID, c.Task, c.Run, c.Token)
-	})
+	}), hasResult)
+	t.recordResult("stop", c.Target.ID, result, err)
 	t.send(stopCompleted{c, result})
 }
 
 // attempt sends a command once, through the given path.
 type attempt func(ctx context.Context, executors Executors) (fulmarjob.CommandResult, error)
 
-// sendHedged sends a command to an executor in hedged attempts and records the result. It returns
-// the number of attempts, too.
-func (t *term) sendHedged(ctx context.Context, command string, target fulmarsched.Target, send attempt) (fulmarjob.CommandResult, int) {
-	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
-	defer cancel()
-	var attempts atomic.Int32
-	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), func(attemptCtx context.Context) (fulmarjob.CommandResult, error) {
+// newAttempt returns a function that sends a command once and counts that in a tally.
+func (t *term) newAttempt(command string, tally *attemptTally, send attempt) func(context.Context) (fulmarjob.CommandResult, error) {
+	return func(ctx context.Context) (fulmarjob.CommandResult, error) {
+		attempt := t.newTimedAttempt(command, commandTimeout)
+		attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
+		defer cancel()
 		if err := t.checkMayExecute(command); err != nil {
-			return fulmarjob.ResultUnknown, err
+			return fulmarjob.ResultUnreachable, err
+		}
+		n, ok := tally.begin(attempt, cancel)
+		if !ok {
+			return fulmarjob.ResultUnreachable, &fulmarattempt.GivenUpError{}
 		}
-		return send(attemptCtx, t.executorsFor(attempts.Add(1)))
-	}, hasResult)
-	t.recordResult(command, target.ID, result, err)
-	return result, int(attempts.Load())
+		result, err := send(attemptCtx, t.executorsFor(n))
+		tally.end(attempt, result)
+		return result, err
+	}
+}
+
+// newTimedAttempt returns an attempt that must be written within a time, which continues while the VM is suspended.
+func (t *term) newTimedAttempt(command string, within fulmarclock.Millis) *fulmarattempt.Attempt {
+	sendBy := t.options.BootClock.Now() + within
+	return fulmarattempt.New(within.Duration(), func() error {
+		if t.options.BootClock.Now() > sendBy {
+			return &fulmarattempt.LateError{}
+		}
+		return t.checkMayExecute(command)
+	})
 }
 
 // renewLease renews an executor's lease. Hedged attempts request a response at once, as the first one
@@ -97,21 +126,57 @@
 		if err := t.checkMayExecute("hold"); err != nil {
 			return renewalResponse{command: c, result: fulmarjob.ResultUnknown}, err
 		}
-		n := attempts.Add(1)
+		n := int(attempts.Add(1))
+		if n == 1 && c.Acknowledged > 0 {
+			return t.acknowledge(attemptCtx, c)
+		}
 		sent := c
 		if n > 1 {
-			sent.Wait, sent.Acknowledged = 0, 0
+			sent = withoutAcknowledgement(c)
 		}
-		result, report, err := t.executorsFor(n).RenewLease(attemptCtx, sent.Target.Address, sent.Target.ID, sent.Token, sent.Acknowledged, sent.Deadline, sent.Wait)
-		return renewalResponse{sent, result, report}, err
+		attempt := t.newTimedAttempt("hold", c.Wait+renewalGrace)
+		return t.sendRenewal(fulmarattempt.NewContext(attemptCtx, attempt), n, sent)
 	}, func(r renewalResponse, err error) bool { return hasResult(r.result, err) })
 	t.recordResult("hold", c.Target.ID, response.result, err)
 	t.send(renewalCompleted{command: response.command, sent: started, result: response.result, report: response.report})
 }
 
+// acknowledge sends a renewal that acknowledges ends. If it waits too long before it is written, it is given up, and a
+// renewal without the acknowledgement is sent in its place.
+func (t *term) acknowledge(ctx context.Context, c fulmarsched.RenewCommand) (renewalResponse, error) {
+	attempt := t.newTimedAttempt("hold", acknowledgementSendTimeout)
+	attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
+	defer cancel()
+	timer := t.options.Clock.AfterFunc(acknowledgementSendTimeout, func() {
+		if attempt.GiveUp() || !attempt.HasBegun() {
+			cancel()
+		}
+	})
+	defer timer.Stop()
+	response, err := t.sendRenewal(attemptCtx, 1, c)
+	if response.result.IsAnswer() || attempt.HasBegun() || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
+		return response, err
+	}
+	t.options.Metrics.Count("late_acknowledgements", "given-up")
+	attempt = t.newTimedAttempt("hold", renewalGrace)
+	return t.sendRenewal(fulmarattempt.NewContext(ctx, attempt), 1, withoutAcknowledgement(c))
+}
+
+// withoutAcknowledgement returns a renewal that acknowledges nothing and requests a response at once.
+func withoutAcknowledgement(c fulmarsched.RenewCommand) fulmarsched.RenewCommand {
+	c.Wait, c.Acknowledged = 0, 0
+	return c
+}
+
+// sendRenewal sends the n-th attempt of a renewal.
+func (t *term) sendRenewal(ctx context.Context, n int, c fulmarsched.RenewCommand) (renewalResponse, error) {
+	result, report, err := t.executorsFor(n).RenewLease(ctx, c.Target.Address, c.Target.ID, c.Token, c.Acknowledged, c.Deadline, c.Wait)
+	return renewalResponse{c, result, report}, err
+}
+
 // executorsFor returns the path of the n-th attempt of a command: the first goes through
 // other members, further ones go directly, because a member may be unreachable.
-func (t *term) executorsFor(n int32) Executors {
+func (t *term) executorsFor(n int) Executors {
 	if n == 1 {
 		return t.options.Relay
 	}
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -71,9 +71,8 @@
 	countsFromStart          bool
 	// heldEnds are finished runs that may not be acknowledged yet, oldest first.
 	heldEnds []heldEnd
-	// lateThrough is the sequence number of the last finished run that was taken from the budget of ends
-	// that are acknowledged late.
-	lateThrough int64
+	// unacknowledged are the finished runs whose acknowledgement the executor has not confirmed, oldest first.
+	unacknowledged []unacknowledgedEnd
 	// moreFinished means that the last report may not have listed all finished runs. What it does not
 	// list may have finished.
 	moreFinished bool
@@ -202,10 +201,17 @@
 // leaseEnd returns a time by which the lease of a task's run has expired. A run that no report has
 // shown, or a late attempt to start it, may be at a later incarnation, unless that would have an entry.
 func (e *executor) leaseEnd(t *task, now fulmarclock.Millis) fulmarclock.Millis {
-	if e.isGone(now) || t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
+	if e.isGone(now) {
 		return e.leasesEndBy
 	}
-	return max(e.leasesEndBy, e.laterLeasesEndBy)
+	end := e.leasesEndBy
+	if !t.inherited {
+		end = max(end, e.openStarts.presentUntil(t.startKey()))
+	}
+	if t.runningSince > 0 && (t.isStartSettled(now) || t.inherited) {
+		return end
+	}
+	return max(end, e.laterLeasesEndBy)
 }
 
 // isGone reports whether no later incarnation has the executor's ID: an executor that is alive has an entry
--- a/internal/fulmarsched/scheduler.go
+++ b/internal/fulmarsched/scheduler.go
@@ -91,7 +91,6 @@
 	// executorList holds the same executors, sorted by ID.
 	executorList []*executor
 	openStarts   *openStarts
-	holdBudget   holdBudget
 	waves        map[int64]*wave
 	// durationModels holds a model for each estimateKey.
 	durationModels   map[string]*durationModel
@@ -136,9 +135,10 @@
 	// placementsLeft is how many more tasks may be placed.
 	placementsLeft int
 
-	// The changes since the last batch. settledJobs are jobs with starts that have been settled.
+	// The changes since the last batch. settledJobs are jobs with starts that have been settled since settledSince.
 	dirtyJobs             []*job
 	settledJobs           []*job
+	settledSince          fulmarclock.Millis
 	placedTasks           []*task
 	executorsWithFinished []*executor
 	chosenVMs             []*vmMaintenance
@@ -157,8 +157,7 @@
 		params: params, token: token, revision: token, log: log, now: now, startedAt: now,
 		jobs:           map[string]*job{},
 		executors:      map[string]*executor{},
-		openStarts:     newOpenStarts(),
-		holdBudget:     newHoldBudget(),
+		openStarts:     newOpenStarts(params.MaxLease),
 		waves:          map[int64]*wave{},
 		durationModels: map[string]*durationModel{},
 		vms:            map[string]fulmarjob.VM{},
@@ -205,6 +204,7 @@
 	}
 	s.dropEndedJobs()
 	s.openStarts.dropExpired(now)
+	s.requestReports()
 	s.dropLapses()
 	s.dropCrashedVMs()
 	for _, j := range s.activeJobs {
