fulmarsched: count a run that an answered start has begun after its placement ended

Cause: an attempt of a start that is executed late and answered as done settled the start, and its task could be placed elsewhere at once, while the run that it had just begun was in no report (found by tests of the audit; it matters since the answers of all attempts are read). Three bounds of the wait were wrong as well: after a change of the owner it left out the lease of the run that a late start begins out of reach; an executor that had left without tasks was forgotten, so that its tasks waited for the full time; a task that lasts was not moved off an executor that drains.

Change: an answer ends the time in which the start can be executed; a report that is requested after it shows whether the run is present. The wait for a start of a previous owner includes a lease but for tasks that last. A task that lasts leaves a draining executor.

--- a/internal/fulmarsched/finishedrun.go
+++ b/internal/fulmarsched/finishedrun.go
@@ -49,6 +49,12 @@
 	return nil
 }
 
+// isLasting reports whether a task is known and lasts.
+func (s *Scheduler) isLasting(id fulmarjob.TaskID) bool {
+	t := s.findTask(id)
+	return t != nil && t.step.LongRunning
+}
+
 func (s *Scheduler) handleFinishedTask(e *executor, f fulmarjob.FinishedTask) {
 	e.dropStrayRun(runKey{f.Task, f.Run})
 	t := s.findTask(f.Task)
--- a/internal/fulmarsched/heldend.go
+++ b/internal/fulmarsched/heldend.go
@@ -33,10 +33,7 @@
 // mayNotStartAfter reports whether the end of a run is one after which its task may not start again, once
 // the end is acknowledged.
 func (s *Scheduler) mayNotStartAfter(f fulmarjob.FinishedTask) bool {
-	if t := s.findTask(f.Task); t != nil && t.step.LongRunning {
-		return false
-	}
-	return f.Outcome == fulmarjob.RunDone || f.Outcome == fulmarjob.RunFailed
+	return !s.isLasting(f.Task) && (f.Outcome == fulmarjob.RunDone || f.Outcome == fulmarjob.RunFailed)
 }
 
 // releaseEnds drops the oldest held ends whose starts can't be executed any more, and all of an executor that may
--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -232,7 +232,7 @@
 	starts.noteSent(0, key, false)
 	starts.dropExpired(2 * lateExecutionBound)
 	starts.noteSent(2*lateExecutionBound, key, false)
-	quicktest.Check(t, starts.noteSettled(key, 0), quicktest.IsNil)
+	quicktest.Check(t, starts.noteSettled(lateExecutionBound, key, 0), quicktest.IsNil)
 	quicktest.Check(t, starts.isOpen(2*lateExecutionBound+1, key), quicktest.IsTrue)
 }
 
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -42,6 +42,8 @@
 	strays map[fulmarjob.TaskID]int
 	// gangs is the number of those that are of members of gangs.
 	gangs int
+	// draining are the executors that drain.
+	draining map[string]bool
 	// atExecutors is the number of starts by executor.
 	atExecutors map[string]int
 	// changed are the executors whose journal record is out of date.
@@ -58,6 +60,8 @@
 	// which the lease of a run that one of them began has expired.
 	until        fulmarclock.Millis
 	presentUntil fulmarclock.Millis
+	// goneAt is when the executor counts as gone for good, zero while it is known.
+	goneAt fulmarclock.Millis
 	// inherited means that a previous owner may have sent one.
 	inherited bool
 	// gang means that the run is of a member of a gang.
@@ -69,7 +73,7 @@
 }
 
 func newOpenStarts(maxLease fulmarclock.Millis) *openStarts {
-	return &openStarts{maxLease: maxLease, atExecutors: map[string]int{}, starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{}}
+	return &openStarts{maxLease: maxLease, atExecutors: map[string]int{}, draining: map[string]bool{}, starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{}}
 }
 
 // noteSent records that a start command is sent now. A run may have several.
@@ -90,16 +94,17 @@
 
 // noteResult records the result of a start command that was sent at sentAt. It returns the start if none of the run can be executed any
 // more, or nil. The command is settled if its only attempt was answered, or never sent.
-func (o *openStarts) noteResult(key startKey, sentAt fulmarclock.Millis, attempts int, result fulmarjob.CommandResult) *openStart {
+func (o *openStarts) noteResult(now fulmarclock.Millis, key startKey, sentAt fulmarclock.Millis, attempts int, result fulmarjob.CommandResult) *openStart {
 	if attempts > 1 || result == fulmarjob.ResultUnknown {
 		return nil
 	}
-	return o.noteSettled(key, sentAt)
+	return o.noteSettled(now, key, sentAt)
 }
 
 // noteSettled records that all attempts of a start command that was sent at sentAt were answered, or never sent.
-// It returns the start if none of the run can be executed any more, or nil.
-func (o *openStarts) noteSettled(key startKey, sentAt fulmarclock.Millis) *openStart {
+// It returns the start if none of the run can be executed any more, or nil. One that was executed after its run had
+// been removed from the executor has begun a run that no report has shown.
+func (o *openStarts) noteSettled(now fulmarclock.Millis, key startKey, sentAt fulmarclock.Millis) *openStart {
 	start := o.starts[key]
 	if start == nil || sentAt < start.since {
 		return nil
@@ -108,6 +113,10 @@
 	if start.unsettled > 0 {
 		return nil
 	}
+	if start.removed {
+		start.until = min(start.until, now)
+		return start
+	}
 	o.remove(key)
 	return start
 }
@@ -128,10 +137,14 @@
 	}
 }
 
-// noteInherited records a start of a previous owner that may be open. When it was sent is unknown.
-func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed bool) {
-	until := now + lateExecutionBound
-	o.add(key, &openStart{since: now, until: until, presentUntil: until, unsettled: 1, inherited: true, gang: gang, removed: removed})
+// noteInherited records a start of a previous owner that may be open. When it was sent is unknown. A task that lasts
+// does not wait for the lease of a run that a late start begins out of reach.
+func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed, isLasting bool) {
+	start := o.add(key, &openStart{since: now, unsettled: 1, inherited: true, gang: gang, removed: removed})
+	o.extend(start, now)
+	if isLasting {
+		start.presentUntil = start.until
+	}
 }
 
 func (o *openStarts) add(key startKey, start *openStart) *openStart {
@@ -190,20 +203,31 @@
 
 // permits reports whether a new run of a task may be placed on an executor: no earlier one may be present, or may
 // still be started. The executor of the earlier start, which has one incarnation at a time, may have a task that
-// lasts, for which the wait would be too long, or one of a previous owner, which may not have sent the start at all.
+// lasts, for which the wait would be too long, or one of a previous owner, which may not have sent the start at all. A
+// task that lasts leaves an executor that drains: no later incarnation is expected there.
 func (o *openStarts) permits(task fulmarjob.TaskID, executor string, isLasting bool) bool {
 	if o.strays[task] > 0 {
 		return false
 	}
 	for _, key := range o.ofTasks[task] {
 		mayShare := isLasting || o.starts[key].inherited
-		if !mayShare || key.executor != executor {
+		mayLeave := isLasting && o.draining[key.executor]
+		if !mayLeave && (!mayShare || key.executor != executor) {
 			return false
 		}
 	}
 	return true
 }
 
+// noteDraining records whether an executor drains.
+func (o *openStarts) noteDraining(executor string, isDraining bool) {
+	if isDraining {
+		o.draining[executor] = true
+		return
+	}
+	delete(o.draining, executor)
+}
+
 // noteStray adds to the number of a task's stray runs.
 func (o *openStarts) noteStray(task fulmarjob.TaskID, change int) {
 	o.strays[task] += change
@@ -239,7 +263,7 @@
 func (o *openStarts) awaitingReport(now fulmarclock.Millis) []string {
 	var executors []string
 	for key, start := range o.starts {
-		if start.until <= now {
+		if start.until <= now && start.goneAt == 0 {
 			executors = append(executors, key.executor)
 		}
 	}
@@ -247,6 +271,18 @@
 	return slices.Compact(executors)
 }
 
+// noteKnown records whether an executor is known, or has no entry and no tasks and counts as gone from goneAt on.
+func (o *openStarts) noteKnown(executor string, goneAt fulmarclock.Millis) {
+	if o.atExecutors[executor] == 0 {
+		return
+	}
+	for key, start := range o.starts {
+		if key.executor == executor {
+			start.goneAt = goneAt
+		}
+	}
+}
+
 // dropExecutor drops the starts at an executor that has ended for good: no later incarnation can execute them.
 func (o *openStarts) dropExecutor(executor string) {
 	for key := range o.starts {
@@ -259,7 +295,7 @@
 // dropExpired drops the starts of which no run can be present any more.
 func (o *openStarts) dropExpired(now fulmarclock.Millis) {
 	for key, start := range o.starts {
-		if start.presentUntil <= now {
+		if start.presentUntil <= now || start.goneAt > 0 && start.goneAt <= now {
 			o.remove(key)
 		}
 	}
@@ -352,14 +388,15 @@
 	return encodeRecord(openStartKeyPrefix+executor, listed)
 }
 
-// restore loads the record of an executor.
-func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage) error {
+// restore loads the record of an executor. isLasting reports whether a task is one that lasts.
+func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage, isLasting func(fulmarjob.TaskID) bool) error {
 	var listed []openStartRecord
 	if err := json.Unmarshal(value, &listed); err != nil {
 		return err
 	}
 	for _, r := range listed {
-		o.noteInherited(now, r.key(executor), r.Gang, true)
+		key := r.key(executor)
+		o.noteInherited(now, key, r.Gang, true, isLasting(key.run.task))
 	}
 	return nil
 }
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -186,12 +186,8 @@
 // requestReports asks executors for reports that show whether an open start has begun a run there.
 func (s *Scheduler) requestReports() {
 	for _, id := range s.openStarts.awaitingReport(s.now) {
-		e := s.executors[id]
-		switch {
-		case e == nil:
-			s.openStarts.noteReport(id, s.now)
-		case !e.renewalInFlight && e.renewalDue == 0:
-			s.scheduleRenewal(e, e.renewalSentAt+probeInterval)
+		if e := s.executors[id]; e != nil && !e.renewalInFlight && e.renewalDue == 0 {
+			s.scheduleRenewal(e, max(s.now, e.renewalSentAt+probeInterval))
 		}
 	}
 }
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -56,7 +56,7 @@
 		s.log.Log("executor answered one of several attempts of a start; another one may still be executed", "job", id.Job, "step", id.Step, "index", id.Index, "run", run, "executor", target.ID, "answer", result, "attempts", attempts)
 		s.log.Count("open_starts", result.String())
 	}
-	if settled := s.openStarts.noteResult(startKey{target.ID, runKey{id, run}}, c.SentAt, attempts, result); settled != nil {
+	if settled := s.openStarts.noteResult(s.now, startKey{target.ID, runKey{id, run}}, c.SentAt, attempts, result); settled != nil {
 		s.handleSettledStart(target, runKey{id, run}, settled, result)
 	}
 	if t == nil || !t.isPlacedAt(target, run) {
@@ -77,7 +77,7 @@
 	s.now = now
 	run := runKey{c.Start.Task, c.Start.Run}
 	s.log.Count("settled_starts", result.String())
-	if settled := s.openStarts.noteSettled(startKey{c.Target.ID, run}, c.SentAt); settled != nil {
+	if settled := s.openStarts.noteSettled(s.now, startKey{c.Target.ID, run}, c.SentAt); settled != nil {
 		s.handleSettledStart(c.Target, run, settled, result)
 	}
 }
