fulmarsched: acknowledge nothing while a start is unreported, however new the last report is

Cause: an acknowledgement went out beside a start if the last report had been handled less than 100 ms before, as an executor was thought to need that long to restart. It needs 20 to 70 ms, and a busy owner handles a report long after it was written. The acknowledgement then deleted an end at the later incarnation that nobody had read.

Change: an acknowledgement waits for a report that shows all starts, and a start after an acknowledgement without a response always has a higher token. The constant of 100 ms is gone.

--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -12,8 +12,6 @@
 	renewalFraction = 0.25
 	// startValidity is how long a start command may be executed after it was sent.
 	startValidity = 2500 * fulmarclock.Millis(1)
-	// minRestartDuration is the shortest time in which an executor restarts.
-	minRestartDuration = 100 * fulmarclock.Millis(1)
 	// lateExecutionBound is how long after it was sent a command, any hedged attempt of it included, may
 	// be executed without a response.
 	lateExecutionBound = 13 * fulmarclock.Second
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -183,11 +183,6 @@
 	return ""
 }
 
-// mayHaveRestarted reports whether the executor may have restarted since its last report.
-func (e *executor) mayHaveRestarted(now fulmarclock.Millis) bool {
-	return now > e.reportedAt+minRestartDuration
-}
-
 // clockLowerBound returns a lower bound of the executor's clock at the scheduler's time now.
 func (e *executor) clockLowerBound(now fulmarclock.Millis) fulmarclock.Millis {
 	return e.clock + fulmarclock.Millis(float64(now-e.clockAt)*minClockRate)
--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -49,10 +49,10 @@
 	f.raise(revision, f.floor)
 }
 
-// beginStart raises the token if the start that is sent next needs that. mayBeLater means that a later incarnation may execute the start; the
-// open acknowledgement may then follow it.
-func (f *fence) beginStart(revision int64, mayBeLater bool) {
-	if f.open.number > 0 && mayBeLater {
+// beginStart raises the token if the start that is sent next needs that: an open acknowledgement may be executed after
+// it, by a later incarnation too.
+func (f *fence) beginStart(revision int64) {
+	if f.open.number > 0 {
 		f.floor = max(f.floor, f.open.token)
 	}
 	if f.token <= f.floor {
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -72,16 +72,13 @@
 	return due
 }
 
-// hasUnreportedStart reports whether a start was sent whose run no report has shown. One that is sent
-// together with an acknowledgement counts only if the executor may have restarted before.
+// hasUnreportedStart reports whether a start was sent whose run no report has shown.
 func (s *Scheduler) hasUnreportedStart(e *executor) bool {
 	for _, t := range e.tasks {
 		if t.runningSince > 0 || t.startsSent == 0 || t.mayBeUnlisted() {
 			continue
 		}
-		if t.startSentAt < s.now || e.mayHaveRestarted(s.now) {
-			return true
-		}
+		return true
 	}
 	return false
 }
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -31,7 +31,7 @@
 	if !s.checkStartQuota(t) {
 		return
 	}
-	e.fence.beginStart(s.revision, e.mayHaveRestarted(s.now))
+	e.fence.beginStart(s.revision)
 	t.startSentAt = s.now
 	t.startsSent++
 	s.openStarts.noteSent(s.now, t.startKey(), t.step.Gang)
