fulmarrelay, fulmarowner: a member writes no order whose time has passed

Cause: an order named how long the member may wait for the answer, counted from when the member read it. How long the message had waited was unknown to it.

Change: a member tells its clock with each message, and an order names the time on that clock by which it must be written. The owner knows a lower bound of the member's clock: what a message shows has been reached by the time that it is read (memberClock; drift of 0.1% allowed for). So the bound is never later than meant, and earlier by the delay of the fastest message. Both clocks count suspensions. The member checks it at each write, and answers that nothing was sent otherwise; a renewal then goes once more without its acknowledgement, so that the lease doesn't suffer. RenewLease returns ResultUnreachable if nothing was sent; the scheduler gets ResultUnknown as before. Members of an earlier version tell no clock, and get no bound.

--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -138,6 +138,10 @@
 		return t.sendRenewal(fulmarattempt.NewContext(attemptCtx, attempt), n, sent)
 	}, func(r renewalResponse, err error) bool { return hasResult(r.result, err) })
 	t.recordResult("hold", c.Target.ID, response.result, err)
+	if response.result == fulmarjob.ResultUnreachable {
+		// A renewal repeats others, so the scheduler doesn't distinguish one that was not sent.
+		response.result = fulmarjob.ResultUnknown
+	}
 	t.send(renewalCompleted{command: response.command, sent: started, result: response.result, report: response.report})
 }
 
@@ -154,7 +158,8 @@
 	})
 	defer timer.Stop()
 	response, err := t.sendRenewal(attemptCtx, 1, c)
-	if response.result.IsAnswer() || attempt.HasBegun() || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
+	unsent := response.result == fulmarjob.ResultUnreachable || !attempt.HasBegun()
+	if response.result.IsAnswer() || !unsent || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
 		return response, err
 	}
 	t.options.Metrics.Count("late_acknowledgements", "given-up")
--- a/internal/fulmarowner/lateacknowledgement_test.go
+++ b/internal/fulmarowner/lateacknowledgement_test.go
@@ -96,3 +96,29 @@
 	h.c.Assert(errors.As(attempt.Begin(ctx), &late), quicktest.IsTrue)
 	h.c.Assert(attempt.GiveUp(), quicktest.IsTrue)
 }
+
+// lateRelay is a relay whose members send no renewal that acknowledges ends in time.
+type lateRelay struct{ *fakeExecutors }
+
+func (r lateRelay) RenewLease(ctx context.Context, address, id string, token, acknowledged int64, deadline, wait fulmarclock.Millis) (fulmarjob.CommandResult, fulmarjob.Report, error) {
+	if err := fulmarattempt.Track(ctx).Begin(ctx); err != nil {
+		return fulmarjob.ResultUnreachable, fulmarjob.Report{}, err
+	}
+	if acknowledged > 0 {
+		return fulmarjob.ResultUnreachable, fulmarjob.Report{}, &fulmarattempt.LateError{}
+	}
+	return r.fakeExecutors.RenewLease(ctx, address, id, token, acknowledged, deadline, wait)
+}
+
+func TestLeaseIsRenewedThoughAcknowledgementIsLate(t *testing.T) {
+	h := newHarness(t)
+	h.candidate.options.Relay = lateRelay{h.executors}
+	h.start()
+	h.acceptRunning(jobA)
+	h.acceptRunning(jobB)
+	h.executors.finish(jobA)
+	before := len(h.executors.received())
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(len(h.executors.received()) >= before+5, quicktest.IsTrue)
+	h.c.Assert(h.executors.acknowledgements(), quicktest.HasLen, 0)
+}
--- a/internal/fulmarrelay/agent.go
+++ b/internal/fulmarrelay/agent.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarledger"
@@ -34,14 +35,24 @@
 	Ownership   Ownership
 	Executors   Executors
 	Clock       fulmarclock.Clock
-	Logger      *log.Logger
+	// BootClock also counts the time in which the VM was suspended; nil means a fulmarclock.Boot.
+	BootClock fulmarclock.Clock
+	Logger    *log.Logger
 }
 
 // Agent executes commands for the owner of the scheduler when that is another member.
 type Agent struct{ options AgentOptions }
 
 // NewAgent returns an agent that is idle until Run.
-func NewAgent(o AgentOptions) *Agent { return &Agent{options: o} }
+func NewAgent(o AgentOptions) *Agent {
+	if o.BootClock == nil {
+		o.BootClock = fulmarclock.NewBoot()
+	}
+	return &Agent{options: o}
+}
+
+// now returns the time that this member tells the owner, which is never zero.
+func (a *Agent) now() int64 { return int64(a.options.BootClock.Now()) + 1 }
 
 // Run attaches to each owner in turn until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
@@ -93,7 +104,7 @@
 		return err
 	}
 	introduction := &fulmarrelaypb.Introduction{Member: a.options.Name, Cores: a.options.Cores}
-	if err := stream.Send(&fulmarrelaypb.Answers{Introduction: introduction}); err != nil {
+	if err := stream.Send(&fulmarrelaypb.Answers{Introduction: introduction, ClockMs: a.now()}); err != nil {
 		return err
 	}
 	return a.serve(streamCtx, cancel, stream)
@@ -116,7 +127,7 @@
 	heartbeat := make(chan struct{}, 1)
 	calls.Go(func() {
 		sendBatches(ctx, a.options.Clock, results, func(batch []*fulmarrelaypb.Answer) error {
-			return stream.Send(&fulmarrelaypb.Answers{Answers: batch})
+			return stream.Send(&fulmarrelaypb.Answers{Answers: batch, ClockMs: a.now()})
 		})
 	})
 	calls.Go(func() {
@@ -144,7 +155,7 @@
 	ctx, cancel := commandContext(stream, o)
 	defer cancel()
 	select {
-	case results <- boundAnswer(a.execute(ctx, o)):
+	case results <- boundAnswer(a.executeInTime(ctx, o)):
 	case <-stream.Done():
 	}
 }
@@ -168,6 +179,20 @@
 	return context.WithTimeout(stream, fulmarclock.Millis(o.GetLimitMs()).Duration())
 }
 
+// executeInTime executes a command, unless it can't be sent to the executor in time.
+func (a *Agent) executeInTime(ctx context.Context, o *fulmarrelaypb.Order) *fulmarrelaypb.Answer {
+	checkTime := func() error {
+		if o.GetSendByMs() > 0 && a.now() > o.GetSendByMs() {
+			return &fulmarattempt.LateError{}
+		}
+		return nil
+	}
+	if err := checkTime(); err != nil {
+		return encodeResult(o.GetNumber(), fulmarjob.ResultUnreachable, err)
+	}
+	return a.execute(fulmarattempt.NewContext(ctx, fulmarattempt.New(0, checkTime)), o)
+}
+
 func (a *Agent) execute(ctx context.Context, o *fulmarrelaypb.Order) *fulmarrelaypb.Answer {
 	executors, number := a.options.Executors, o.GetNumber()
 	switch kind := o.GetKind().(type) {
--- a/internal/fulmarrelay/hub.go
+++ b/internal/fulmarrelay/hub.go
@@ -54,9 +54,11 @@
 
 // HubOptions are the dependencies of a Hub.
 type HubOptions struct {
-	Clock   fulmarclock.Clock
-	Logger  *log.Logger
-	Metrics Metrics
+	Clock fulmarclock.Clock
+	// BootClock also counts the time in which the VM was suspended; nil means a fulmarclock.Boot.
+	BootClock fulmarclock.Clock
+	Logger    *log.Logger
+	Metrics   Metrics
 	// Direct sends commands to the executors from this process.
 	Direct Executors
 	// Cores is the number of processor cores of this member's VM; it may be a fraction.
@@ -83,7 +85,12 @@
 }
 
 // NewHub returns a hub without attached members.
-func NewHub(o HubOptions) *Hub { return &Hub{options: o} }
+func NewHub(o HubOptions) *Hub {
+	if o.BootClock == nil {
+		o.BootClock = fulmarclock.NewBoot()
+	}
+	return &Hub{options: o}
+}
 
 // SetExecutorCount sets the number of executors to serve, which determines how many members are active.
 func (h *Hub) SetExecutorCount(executors int) {
@@ -126,7 +133,8 @@
 	if err != nil {
 		return err
 	}
-	s := newSession(first.GetIntroduction().GetMember(), first.GetIntroduction().GetCores(), h.options.Clock)
+	s := newSession(first.GetIntroduction().GetMember(), first.GetIntroduction().GetCores(), h.options.Clock, h.options.BootClock)
+	s.memberClock.observe(h.options.BootClock.Now(), fulmarclock.Millis(first.GetClockMs()))
 	h.add(s)
 	err = s.serve(stream, &ownerNotice{later: &h.laterOwner})
 	h.remove(s, err)
@@ -228,9 +236,6 @@
 	if !relayed {
 		return h.options.Direct.RenewLease(ctx, address, id, token, acknowledged, deadline, wait)
 	}
-	if err != nil {
-		return fulmarjob.ResultUnknown, fulmarjob.Report{}, err
-	}
-	decoded, err := decodeResult(result, nil)
+	decoded, err := decodeResult(result, err)
 	return decoded, decodeReport(result.GetReport()), err
 }
--- a/internal/fulmarrelay/queuedorder_test.go
+++ b/internal/fulmarrelay/queuedorder_test.go
@@ -23,22 +23,22 @@
 }
 
 func TestOrderThatIsGivenUpInQueueIsNotSentLater(t *testing.T) {
-	s := newSession("m", 1, instantClock{})
+	s := newSession("m", 1, instantClock{}, instantClock{})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	result, err := decodeResult(s.roundTrip(ctx, &fulmarrelaypb.Order{}))
 	var notSent *fulmarattempt.NotSentError
 	quicktest.Check(t, errors.As(err, &notSent), quicktest.IsTrue, quicktest.Commentf("%v", err))
 	quicktest.Check(t, result, quicktest.Equals, fulmarjob.ResultUnreachable)
-	quicktest.Check(t, sendable(takeQueued(s)), quicktest.HasLen, 0)
+	quicktest.Check(t, s.sendable(takeQueued(s)), quicktest.HasLen, 0)
 }
 
 func TestOrderThatWasSentIsNotCalledUnsent(t *testing.T) {
-	s := newSession("m", 1, instantClock{})
+	s := newSession("m", 1, instantClock{}, instantClock{})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	sent := make(chan []*fulmarrelaypb.Order, 1)
-	go func() { sent <- sendable([]*queuedOrder{<-s.queue}) }()
+	go func() { sent <- s.sendable([]*queuedOrder{<-s.queue}) }()
 	result, _ := decodeResult(s.roundTrip(ctx, &fulmarrelaypb.Order{}))
 	quicktest.Check(t, result, quicktest.Equals, fulmarjob.ResultUnknown)
 	orders := <-sent
--- a/internal/fulmarrelay/session.go
+++ b/internal/fulmarrelay/session.go
@@ -39,6 +39,9 @@
 	clock  fulmarclock.Clock
 	queue  chan *queuedOrder
 	done   chan struct{}
+	// bootClock is the owner's clock that also counts the time in which the VM was suspended.
+	bootClock   fulmarclock.Clock
+	memberClock memberClock
 
 	mu         sync.Mutex
 	lastNumber uint64
@@ -53,9 +56,9 @@
 	attempt *fulmarattempt.Attempt
 }
 
-func newSession(member string, cores float64, clock fulmarclock.Clock) *session {
+func newSession(member string, cores float64, clock, bootClock fulmarclock.Clock) *session {
 	return &session{
-		member: member, cores: cores, clock: clock, queue: make(chan *queuedOrder, maxQueuedCommands),
+		member: member, cores: cores, clock: clock, bootClock: bootClock, queue: make(chan *queuedOrder, maxQueuedCommands),
 		done: make(chan struct{}), pending: map[uint64]chan *fulmarrelaypb.Answer{},
 	}
 }
@@ -95,13 +98,17 @@
 }
 
 // sendable returns the commands that may still be sent, with their remaining time.
-func sendable(queued []*queuedOrder) []*fulmarrelaypb.Order {
+func (s *session) sendable(queued []*queuedOrder) []*fulmarrelaypb.Order {
 	orders := make([]*fulmarrelaypb.Order, 0, len(queued))
 	for _, q := range queued {
-		if q.attempt.Begin(q.ctx) == nil {
-			q.LimitMs = remainingMillis(q.ctx)
-			orders = append(orders, q.Order)
+		if q.attempt.Begin(q.ctx) != nil {
+			continue
 		}
+		q.LimitMs = remainingMillis(q.ctx)
+		if left, limited := q.attempt.TimeLeft(q.ctx); limited {
+			q.SendByMs = int64(s.memberClock.after(s.bootClock.Now(), left))
+		}
+		orders = append(orders, q.Order)
 	}
 	return orders
 }
@@ -159,7 +166,7 @@
 	go func() { received <- s.receive(stream, heartbeat) }()
 	senders.Go(func() {
 		sendBatches(ctx, s.clock, s.queue, func(batch []*queuedOrder) error {
-			return stream.Send(&fulmarrelaypb.Orders{Orders: sendable(batch), Owner: notice.next()})
+			return stream.Send(&fulmarrelaypb.Orders{Orders: s.sendable(batch), Owner: notice.next()})
 		})
 	})
 	return awaitStreamEnd(ctx, s.clock, received, heartbeat)
@@ -174,6 +181,7 @@
 			return err
 		}
 		signal(heartbeat)
+		s.memberClock.observe(s.bootClock.Now(), fulmarclock.Millis(message.GetClockMs()))
 		s.deliver(message.GetAnswers())
 	}
 }
