fulmarsched: find the open starts of an executor without a look at all of them

Cause: each report went through all open starts, as every executor at work has one under way.

Change: open starts are indexed by executor as they are by task; one function removes from both indexes. Starts at an executor that is not met count as gone when they can't be executed any more.

--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -36,16 +36,15 @@
 type openStarts struct {
 	maxLease fulmarclock.Millis
 	starts   map[startKey]*openStart
-	// ofTasks holds the keys of starts by task.
-	ofTasks map[fulmarjob.TaskID][]startKey
+	// ofTasks and atExecutors hold the keys of starts by task and by executor.
+	ofTasks     map[fulmarjob.TaskID][]startKey
+	atExecutors map[string][]startKey
 	// strays is the number of stray runs by task.
 	strays map[fulmarjob.TaskID]int
 	// gangs is the number of those that are of members of gangs.
 	gangs int
 	// draining are the executors that drain.
 	draining map[string]bool
-	// atExecutors is the number of starts by executor.
-	atExecutors map[string]int
 	// changed are the executors whose journal record is out of date.
 	changed map[string]bool
 }
@@ -73,7 +72,10 @@
 }
 
 func newOpenStarts(maxLease fulmarclock.Millis) *openStarts {
-	return &openStarts{maxLease: maxLease, atExecutors: map[string]int{}, draining: map[string]bool{}, starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{}}
+	return &openStarts{
+		maxLease: maxLease, starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, atExecutors: map[string][]startKey{},
+		strays: map[fulmarjob.TaskID]int{}, draining: map[string]bool{}, changed: map[string]bool{},
+	}
 }
 
 // noteSent records that a start command is sent now. A run may have several.
@@ -92,8 +94,8 @@
 	start.presentUntil = start.until + fulmarclock.Millis(float64(o.maxLease)/minClockRate)
 }
 
-// noteResult records the result of a start command that was sent at sentAt. It returns the start if none of the run can be executed any
-// more, or nil. The command is settled if its only attempt was answered, or never sent.
+// noteResult records the result of a start command that was sent at sentAt. It returns the start if none of the run
+// can be executed any more, or nil. The command is settled if its only attempt was answered, or never sent.
 func (o *openStarts) noteResult(now fulmarclock.Millis, key startKey, sentAt fulmarclock.Millis, attempts int, result fulmarjob.CommandResult) *openStart {
 	if attempts > 1 || result == fulmarjob.ResultUnknown {
 		return nil
@@ -150,7 +152,7 @@
 func (o *openStarts) add(key startKey, start *openStart) *openStart {
 	o.remove(key)
 	o.starts[key] = start
-	o.atExecutors[key.executor]++
+	o.atExecutors[key.executor] = append(o.atExecutors[key.executor], key)
 	o.ofTasks[key.run.task] = append(o.ofTasks[key.run.task], key)
 	if start.gang {
 		o.gangs++
@@ -248,11 +250,8 @@
 // noteReport drops the starts that could no longer be executed when a report of their executor was requested: it
 // lists the runs that they may have begun.
 func (o *openStarts) noteReport(executor string, sentAt fulmarclock.Millis) {
-	if o.atExecutors[executor] == 0 {
-		return
-	}
-	for key, start := range o.starts {
-		if key.executor == executor && start.until <= sentAt {
+	for _, key := range slices.Clone(o.atExecutors[executor]) {
+		if o.starts[key].until <= sentAt {
 			o.remove(key)
 		}
 	}
@@ -273,22 +272,15 @@
 
 // noteKnown records whether an executor is known, or has no entry and no tasks and counts as gone from goneAt on.
 func (o *openStarts) noteKnown(executor string, goneAt fulmarclock.Millis) {
-	if o.atExecutors[executor] == 0 {
-		return
-	}
-	for key, start := range o.starts {
-		if key.executor == executor {
-			start.goneAt = goneAt
-		}
+	for _, key := range o.atExecutors[executor] {
+		o.starts[key].goneAt = goneAt
 	}
 }
 
 // dropExecutor drops the starts at an executor that has ended for good: no later incarnation can execute them.
 func (o *openStarts) dropExecutor(executor string) {
-	for key := range o.starts {
-		if key.executor == executor {
-			o.remove(key)
-		}
+	for _, key := range slices.Clone(o.atExecutors[executor]) {
+		o.remove(key)
 	}
 }
 
@@ -313,20 +305,18 @@
 		o.gangs--
 	}
 	delete(o.starts, key)
-	o.atExecutors[key.executor]--
-	if o.atExecutors[key.executor] == 0 {
-		delete(o.atExecutors, key.executor)
-	}
-	o.removeOfTask(key)
+	removeKey(o.atExecutors, key.executor, key)
+	removeKey(o.ofTasks, key.run.task, key)
 }
 
-func (o *openStarts) removeOfTask(key startKey) {
-	others := slices.DeleteFunc(o.ofTasks[key.run.task], func(other startKey) bool { return other == key })
+// removeKey removes a start from an index, and the index's entry with its last start.
+func removeKey[K comparable](index map[K][]startKey, entry K, key startKey) {
+	others := slices.DeleteFunc(index[entry], func(other startKey) bool { return other == key })
 	if len(others) == 0 {
-		delete(o.ofTasks, key.run.task)
+		delete(index, entry)
 		return
 	}
-	o.ofTasks[key.run.task] = others
+	index[entry] = others
 }
 
 // ofTask returns the open starts of a task's runs.
@@ -388,8 +378,9 @@
 	return encodeRecord(openStartKeyPrefix+executor, listed)
 }
 
-// restore loads the record of an executor. isLasting reports whether a task is one that lasts.
-func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage, isLasting func(fulmarjob.TaskID) bool) error {
+// restore loads the record of an executor, which counts as gone if it is not met while its starts are open. isLasting
+// reports whether a task is one that lasts.
+func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage, isKnown bool, isLasting func(fulmarjob.TaskID) bool) error {
 	var listed []openStartRecord
 	if err := json.Unmarshal(value, &listed); err != nil {
 		return err
@@ -398,5 +389,8 @@
 		key := r.key(executor)
 		o.noteInherited(now, key, r.Gang, true, isLasting(key.run.task))
 	}
+	if !isKnown {
+		o.noteKnown(executor, now+lateExecutionBound)
+	}
 	return nil
 }
