fulmarowner: count the time of a command from its decision on

Cause: the times by which a command must be written began with its goroutine. A process that was paused between the scheduler's decision and that, or an owner whose commands wait while it may not send any, sent them long after: an acknowledgement after a report of any age, a start although the executor may have restarted since.

Change: the loop notes the boot clock before it decides on commands. A start or stop is not written later than 2.5 s after that, beside the timeout of 800 ms for its attempts; a renewal sends no acknowledgement later than 100 ms after that.

Evidence: TestCommandsOfPausedProcessAreNotSentWhenItWakes failed with the times of before (start, stop and acknowledgement were sent) and passes.

--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -13,16 +13,17 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
 )
 
-// execute sends a command in its own goroutine, which reports the result as an event.
-func (t *term) execute(ctx context.Context, c fulmarsched.Command) {
+// execute sends a command in its own goroutine, which reports the result as an event. decided is the time on the
+// boot clock at which the command was decided, or before.
+func (t *term) execute(ctx context.Context, c fulmarsched.Command, decided fulmarclock.Millis) {
 	switch c := c.(type) {
 	case fulmarsched.StartCommand:
 		t.window.begin()
-		t.calls.Go(func() { t.start(ctx, c) })
+		t.calls.Go(func() { t.start(ctx, c, decided) })
 	case fulmarsched.StopCommand:
-		t.calls.Go(func() { t.stop(ctx, c) })
+		t.calls.Go(func() { t.stop(ctx, c, decided) })
 	case fulmarsched.RenewCommand:
-		t.calls.Go(func() { t.renewLease(ctx, c) })
+		t.calls.Go(func() { t.renewLease(ctx, c, decided) })
 	case fulmarsched.ThrottleCommand:
 		t.calls.Go(func() { t.throttle(ctx, c) })
 	case fulmarsched.MaintenanceCommand:
@@ -47,12 +48,12 @@
 
 // start sends a start command and tracks how long the executor takes to respond. The attempts that have no
 // response by then go on: a start can be executed until all of them are answered.
-func (t *term) start(ctx context.Context, c fulmarsched.StartCommand) {
+func (t *term) start(ctx context.Context, c fulmarsched.StartCommand, decided fulmarclock.Millis) {
 	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
 	defer cancel()
 	started := t.options.Clock.Now()
 	tally := newAttemptTally()
-	result, wait, err := fulmarhedge.DoAll(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("start", tally, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	result, wait, err := fulmarhedge.DoAll(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("start", decided+commandValidity, tally, func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Start(attemptCtx, c.Target.Address, c.Target.ID, c.Start)
 	}), hasResult)
 	attempts, result := tally.close(result)
@@ -70,10 +71,10 @@
 }
 
 // stop sends a stop command.
-func (t *term) stop(ctx context.Context, c fulmarsched.StopCommand) {
+func (t *term) stop(ctx context.Context, c fulmarsched.StopCommand, decided fulmarclock.Millis) {
 	callCtx, cancel := context.WithTimeout(ctx, commandTimeout.Duration())
 	defer cancel()
-	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("stop", newAttemptTally(), func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
+	result, err := fulmarhedge.Do(callCtx, t.options.Clock, t.latency.Plan(), t.newAttempt("stop", decided+commandValidity, newAttemptTally(), func(attemptCtx context.Context, executors Executors) (fulmarjob.CommandResult, error) {
 		return executors.Stop(attemptCtx, c.Target.Address, c.Target.ID, c.Task, c.Run, c.Token)
 	}), hasResult)
 	t.recordResult("stop", c.Target.ID, result, err)
@@ -83,13 +84,14 @@
 // attempt sends a command once, through the given path.
 type attempt func(ctx context.Context, executors Executors) (fulmarjob.CommandResult, error)
 
-// newAttempt returns a function that sends a command once and counts that in a tally.
-func (t *term) newAttempt(command string, tally *attemptTally, send attempt) func(context.Context) (fulmarjob.CommandResult, error) {
+// newAttempt returns a function that sends a command once, unless the boot clock has passed sendBy, and counts that
+// in a tally.
+func (t *term) newAttempt(command string, sendBy fulmarclock.Millis, tally *attemptTally, send attempt) func(context.Context) (fulmarjob.CommandResult, error) {
 	return func(ctx context.Context) (fulmarjob.CommandResult, error) {
-		attempt := t.newTimedAttempt(command, commandTimeout)
+		attempt := t.newTimedAttempt(command, sendBy)
 		attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
 		defer cancel()
-		if err := t.checkMayExecute(command); err != nil {
+		if err := t.checkMayBegin(command, sendBy); err != nil {
 			return fulmarjob.ResultUnreachable, err
 		}
 		n, ok := tally.begin(attempt, cancel)
@@ -102,21 +104,25 @@
 	}
 }
 
-// newTimedAttempt returns an attempt that must be written within a time, which continues while the VM is suspended.
-func (t *term) newTimedAttempt(command string, within fulmarclock.Millis) *fulmarattempt.Attempt {
-	sendBy := t.options.BootClock.Now() + within
-	return fulmarattempt.New(within.Duration(), func() error {
-		if t.options.BootClock.Now() > sendBy {
-			return &fulmarattempt.LateError{}
-		}
-		return t.checkMayExecute(command)
-	})
+// newTimedAttempt returns an attempt that must be written before the boot clock has passed sendBy.
+func (t *term) newTimedAttempt(command string, sendBy fulmarclock.Millis) *fulmarattempt.Attempt {
+	within := max(sendBy-t.options.BootClock.Now(), 1)
+	return fulmarattempt.New(within.Duration(), func() error { return t.checkMayBegin(command, sendBy) })
+}
+
+// checkMayBegin returns an error if a command to an executor must not be written any more. The process may have been
+// paused since the command was decided.
+func (t *term) checkMayBegin(command string, sendBy fulmarclock.Millis) error {
+	if t.options.BootClock.Now() > sendBy {
+		return &fulmarattempt.LateError{}
+	}
+	return t.checkMayExecute(command)
 }
 
 // renewLease renews an executor's lease. Hedged attempts request a response at once, as the first one
 // may wait at the executor for the end of a run, and acknowledge nothing, as an acknowledgement is
 // valid only for a short time.
-func (t *term) renewLease(ctx context.Context, c fulmarsched.RenewCommand) {
+func (t *term) renewLease(ctx context.Context, c fulmarsched.RenewCommand, decided fulmarclock.Millis) {
 	callCtx, cancel := context.WithTimeout(ctx, (c.Wait + renewalGrace).Duration())
 	defer cancel()
 	started := t.options.Clock.Now()
@@ -128,13 +134,13 @@
 		}
 		n := int(attempts.Add(1))
 		if n == 1 && c.Acknowledged > 0 {
-			return t.acknowledge(attemptCtx, c)
+			return t.acknowledge(attemptCtx, c, decided+acknowledgementSendTimeout)
 		}
 		sent := c
 		if n > 1 {
 			sent = withoutAcknowledgement(c)
 		}
-		attempt := t.newTimedAttempt("hold", c.Wait+renewalGrace)
+		attempt := t.newTimedAttempt("hold", t.options.BootClock.Now()+renewalGrace)
 		return t.sendRenewal(fulmarattempt.NewContext(attemptCtx, attempt), n, sent)
 	}, func(r renewalResponse, err error) bool { return hasResult(r.result, err) })
 	t.recordResult("hold", c.Target.ID, response.result, err)
@@ -147,8 +153,11 @@
 
 // acknowledge sends a renewal that acknowledges ends. If it waits too long before it is written, it is given up, and a
 // renewal without the acknowledgement is sent in its place.
-func (t *term) acknowledge(ctx context.Context, c fulmarsched.RenewCommand) (renewalResponse, error) {
-	attempt := t.newTimedAttempt("hold", acknowledgementSendTimeout)
+func (t *term) acknowledge(ctx context.Context, c fulmarsched.RenewCommand, sendBy fulmarclock.Millis) (renewalResponse, error) {
+	if t.checkMayBegin("hold", sendBy) != nil {
+		return t.renewWithoutAcknowledgement(ctx, c)
+	}
+	attempt := t.newTimedAttempt("hold", sendBy)
 	attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
 	defer cancel()
 	timer := t.options.Clock.AfterFunc(acknowledgementSendTimeout, func() {
@@ -162,8 +171,12 @@
 	if response.result.IsAnswer() || !unsent || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
 		return response, err
 	}
+	return t.renewWithoutAcknowledgement(ctx, c)
+}
+
+func (t *term) renewWithoutAcknowledgement(ctx context.Context, c fulmarsched.RenewCommand) (renewalResponse, error) {
 	t.options.Metrics.Count("late_acknowledgements", "given-up")
-	attempt = t.newTimedAttempt("hold", renewalGrace)
+	attempt := t.newTimedAttempt("hold", t.options.BootClock.Now()+renewalGrace)
 	return t.sendRenewal(fulmarattempt.NewContext(ctx, attempt), 1, withoutAcknowledgement(c))
 }
 
--- a/internal/fulmarowner/constants.go
+++ b/internal/fulmarowner/constants.go
@@ -32,6 +32,9 @@
 	tickInterval = 50 * fulmarclock.Millis(1)
 	// commandTimeout is the timeout of a command to an executor, hedged attempts included.
 	commandTimeout = 800 * fulmarclock.Millis(1)
+	// commandValidity is the time in which a start or stop must be written since it was decided, as the process may
+	// be paused before commandTimeout begins.
+	commandValidity = 2500 * fulmarclock.Millis(1)
 	// minHedgeDelay is the minimum delay before a hedged attempt of a command.
 	minHedgeDelay = 120 * fulmarclock.Millis(1)
 	// maxCommandAttempts is the most hedged attempts of a command, the first included.
--- a/internal/fulmarowner/lateacknowledgement_test.go
+++ b/internal/fulmarowner/lateacknowledgement_test.go
@@ -88,7 +88,7 @@
 func TestAcknowledgementIsNotWrittenLongAfterItsReport(t *testing.T) {
 	h := newHarness(t)
 	owner := h.start()
-	attempt := owner.newTimedAttempt("hold", acknowledgementSendTimeout)
+	attempt := owner.newTimedAttempt("hold", h.bootClock.Now()+acknowledgementSendTimeout)
 	ctx := fulmarattempt.NewContext(context.Background(), attempt)
 	fulmarattempt.Track(ctx)
 	h.bootClock.Advance(acknowledgementSendTimeout + 1)
--- a/internal/fulmarowner/slowattempt_test.go
+++ b/internal/fulmarowner/slowattempt_test.go
@@ -10,6 +10,7 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarattempt"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
+	"github.com/fulmardrum/fulmardrum/internal/fulmarsched"
 )
 
 // slowStarts executes starts at once, but the response of the first attempt takes a time.
@@ -148,3 +149,19 @@
 	h.c.Assert(waiting.given.Load(), quicktest.Equals, int32(1))
 	h.c.Assert(h.executors.hasFinishedRuns(), quicktest.IsFalse)
 }
+
+// A pause between the decision on a command and its first attempt leaves no trace in the time of the attempt.
+func TestCommandsOfPausedProcessAreNotSentWhenItWakes(t *testing.T) {
+	h := newHarness(t)
+	owner := h.start()
+	h.acceptRunning(jobA)
+	decided := h.bootClock.Now()
+	h.bootClock.Advance(commandValidity + 1)
+	commands := h.executors.received()
+	owner.start(context.Background(), fulmarsched.StartCommand{Start: fulmarjob.StartRequest{Run: 9}}, decided)
+	owner.stop(context.Background(), fulmarsched.StopCommand{Run: 9}, decided)
+	owner.renewLease(context.Background(), fulmarsched.RenewCommand{Acknowledged: 7, Token: 99}, decided)
+	for _, c := range h.executors.received()[len(commands):] {
+		h.c.Check(c.run == 9 || c.acknowledged == 7, quicktest.IsFalse, quicktest.Commentf("%+v", c))
+	}
+}
--- a/internal/fulmarowner/term.go
+++ b/internal/fulmarowner/term.go
@@ -42,6 +42,10 @@
 	lastTick      fulmarclock.Millis
 	lastRefresh   fulmarclock.Millis
 	load          loadMeter
+	// commandsSince is a time on the boot clock before which no command that waits was decided; hasCommands means that
+	// some may wait.
+	commandsSince fulmarclock.Millis
+	hasCommands   bool
 	// window limits the start commands in flight.
 	window startWindow
 	// pending are the responses that wait for the next append.
@@ -147,9 +151,11 @@
 	for t.failure == nil {
 		select {
 		case e := <-t.events:
+			t.beginDecisions()
 			t.guard(func() { e.apply(t, t.options.Clock.Now()) })
 			t.guard(t.applyQueued)
 		case <-timer.C:
+			t.beginDecisions()
 		case err := <-lost:
 			t.fail(err)
 		case <-stop:
@@ -165,6 +171,13 @@
 	t.respondToPending()
 }
 
+// beginDecisions notes the time before the scheduler decides on commands.
+func (t *term) beginDecisions() {
+	if !t.hasCommands {
+		t.hasCommands, t.commandsSince = true, t.options.BootClock.Now()
+	}
+}
+
 // guard calls f, unless the term has failed. A panic in f ends the term: the scheduler's state
 // may be inconsistent, while the journal holds what the next term needs.
 func (t *term) guard(f func()) {
@@ -240,8 +253,9 @@
 	}
 	if t.mayExecute() {
 		for _, command := range t.scheduler.TakeCommands() {
-			t.execute(ctx, command)
+			t.execute(ctx, command, t.commandsSince)
 		}
+		t.hasCommands = false
 	}
 }
 
