--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -346,3 +346,21 @@
 		})
 	}
 }
+
+// The request for a report of an incarnation that an entry names must not acknowledge the ends of the one before.
+func TestAcknowledgementIsNotSentToIncarnationThatEntryNames(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.runUntil(1200)
+	sim.submit(jobID(1), step(1))
+	known := sim.scheduler.executors["x-0"]
+	sim.waitFor(sim.now+3000, "an end is read", func() bool { return known.finishedSeen == 1 })
+	sim.storeDown = true
+	e := sim.executors[0]
+	e.crash()
+	sim.batch = nil
+	known.acknowledged = 1
+	e.restart()
+	for _, c := range sim.scheduler.TakeCommands() {
+		quicktest.Check(t, isAcknowledgement(c), quicktest.IsFalse)
+	}
+}
