--- a/internal/fulmarowner/command.go
+++ b/internal/fulmarowner/command.go
@@ -151,13 +151,29 @@
 	t.send(renewalCompleted{command: response.command, sent: started, result: response.result, report: response.report})
 }
 
-// acknowledge sends a renewal that acknowledges ends. If it waits too long before it is written, it is given up, and a
-// renewal without the acknowledgement is sent in its place.
+// acknowledge sends a renewal that acknowledges ends. If it waits too long before it is written, it is given up and
+// sent directly, and at last without the acknowledgement.
 func (t *term) acknowledge(ctx context.Context, c fulmarsched.RenewCommand, sendBy fulmarclock.Millis) (renewalResponse, error) {
-	if t.checkMayBegin("hold", sendBy) != nil {
-		return t.renewWithoutAcknowledgement(ctx, c)
+	for n := range maxRenewalAttempts {
+		response, attempt, err := t.sendAcknowledgement(ctx, n+1, c, sendBy+fulmarclock.Millis(n)*acknowledgementSendTimeout)
+		isUnsent := response.result == fulmarjob.ResultUnreachable || attempt.GiveUp()
+		mayBeSent := !isUnsent && attempt.HasBegun()
+		if response.result.IsAnswer() || mayBeSent || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
+			return response, err
+		}
+		if !isUnsent {
+			break
+		}
 	}
+	return t.renewWithoutAcknowledgement(ctx, c)
+}
+
+// sendAcknowledgement sends the n-th attempt of a renewal that acknowledges ends, unless it can't be written in time.
+func (t *term) sendAcknowledgement(ctx context.Context, n int, c fulmarsched.RenewCommand, sendBy fulmarclock.Millis) (renewalResponse, *fulmarattempt.Attempt, error) {
 	attempt := t.newTimedAttempt("hold", sendBy)
+	if err := t.checkMayBegin("hold", sendBy); err != nil {
+		return renewalResponse{command: c, result: fulmarjob.ResultUnreachable}, attempt, err
+	}
 	attemptCtx, cancel := context.WithCancel(fulmarattempt.NewContext(ctx, attempt))
 	defer cancel()
 	timer := t.options.Clock.AfterFunc(acknowledgementSendTimeout, func() {
@@ -166,12 +182,8 @@
 		}
 	})
 	defer timer.Stop()
-	response, err := t.sendRenewal(attemptCtx, 1, c)
-	unsent := response.result == fulmarjob.ResultUnreachable || !attempt.HasBegun()
-	if response.result.IsAnswer() || !unsent || ctx.Err() != nil || t.checkMayExecute("hold") != nil {
-		return response, err
-	}
-	return t.renewWithoutAcknowledgement(ctx, c)
+	response, err := t.sendRenewal(attemptCtx, n, c)
+	return response, attempt, err
 }
 
 func (t *term) renewWithoutAcknowledgement(ctx context.Context, c fulmarsched.RenewCommand) (renewalResponse, error) {
--- a/internal/fulmarowner/lateacknowledgement_test.go
+++ b/internal/fulmarowner/lateacknowledgement_test.go
@@ -112,13 +112,24 @@
 
 func TestLeaseIsRenewedThoughAcknowledgementIsLate(t *testing.T) {
 	h := newHarness(t)
-	h.candidate.options.Relay = lateRelay{h.executors}
+	h.candidate.options.Relay, h.candidate.options.Executors = lateRelay{h.executors}, lateRelay{h.executors}
 	h.start()
 	h.acceptRunning(jobA)
 	h.acceptRunning(jobB)
 	h.executors.finish(jobA)
 	before := len(h.executors.received())
-	h.advanceBy(fulmarclock.Second)
+	h.advanceBy(2 * fulmarclock.Second)
 	h.c.Assert(len(h.executors.received()) >= before+5, quicktest.IsTrue)
 	h.c.Assert(h.executors.acknowledgements(), quicktest.HasLen, 0)
 }
+
+func TestEndIsAcknowledgedThoughRelayingMemberIsLate(t *testing.T) {
+	h := newHarness(t)
+	h.candidate.options.Relay = lateRelay{h.executors}
+	h.start()
+	h.acceptRunning(jobA)
+	h.acceptRunning(jobB)
+	h.executors.finish(jobA)
+	h.advanceBy(fulmarclock.Second)
+	h.c.Assert(len(h.executors.acknowledgements()) > 0, quicktest.IsTrue)
+}
--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -17,6 +17,8 @@
 	lateExecutionBound = 13 * fulmarclock.Second
 	// settledRecordDelay is how long the journal waits for other changes before it records a settled start alone.
 	settledRecordDelay = fulmarclock.Second
+	// maxLastingWait is how long a task that lasts waits for a start of its earlier run that may still be executed.
+	maxLastingWait = 4 * fulmarclock.Second
 	// entryReturnTimeout is how long the entry of an executor that is alive may be missing, with a margin
 	// for a watch that is late.
 	entryReturnTimeout = 3500 * fulmarclock.Millis(1)
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -51,6 +51,8 @@
 	// renewalDue is when the next renewal is sent; zero for none.
 	renewalDue    fulmarclock.Millis
 	renewalSentAt fulmarclock.Millis
+	// requestedAcknowledgement is the number up to which the last renewal was to acknowledge finished runs.
+	requestedAcknowledgement int64
 	// lastResultAt is when the executor last sent a report or confirmed a start.
 	lastResultAt fulmarclock.Millis
 	// reportSentAt is when the renewal was sent that got the last report.
@@ -140,7 +142,6 @@
 func (s *Scheduler) deleteExecutor(e *executor) {
 	delete(s.executors, e.info.ID)
 	s.openStarts.noteKnown(e.info.ID, s.now+entryReturnTimeout)
-	s.openStarts.noteDraining(e.info.ID, false)
 	s.deletedToken = max(s.deletedToken, e.fence.token)
 	s.expireTickets(e.info.ID)
 	if at, found := slices.BinarySearchFunc(s.executorList, e.info.ID, compareID); found {
@@ -299,7 +300,6 @@
 		e.renewalInFlight = false
 	}
 	e.info, e.listed = info, true
-	s.openStarts.noteDraining(info.ID, info.Draining)
 	if changed {
 		s.log.Log("executor listed in the store", "executor", info.ID, "service", info.Service, "vm", info.VM, "born", info.Incarnation, "draining", info.Draining)
 		e.failedRenewals = 0
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -29,13 +29,15 @@
 // Usage:
 //
 //	starts.noteSent(now, key, isGang)
-//	settled := starts.noteResult(key, sentAt, attempts, result)
+//	settled := starts.noteResult(now, key, sentAt, attempts, result)
 //	starts.noteRemoved(key)
 //	keys := starts.before(now, key)
 //	starts.noteReport(executor, sentAt)
 type openStarts struct {
 	maxLease fulmarclock.Millis
-	starts   map[startKey]*openStart
+	// now is the time of the last call of dropExpired.
+	now    fulmarclock.Millis
+	starts map[startKey]*openStart
 	// ofTasks and atExecutors hold the keys of starts by task and by executor.
 	ofTasks     map[fulmarjob.TaskID][]startKey
 	atExecutors map[string][]startKey
@@ -43,8 +45,6 @@
 	strays map[fulmarjob.TaskID]int
 	// gangs is the number of those that are of members of gangs.
 	gangs int
-	// draining are the executors that drain.
-	draining map[string]bool
 	// changed are the executors whose journal record is out of date.
 	changed map[string]bool
 }
@@ -65,8 +65,11 @@
 	inherited bool
 	// gang means that the run is of a member of a gang.
 	gang bool
-	// removed means that the run is not placed on the executor any more.
-	removed bool
+	// begun means that an attempt may have been executed.
+	begun bool
+	// removed means that the run is not placed on the executor any more, since removedAt.
+	removed   bool
+	removedAt fulmarclock.Millis
 	// holding are the executors with ends that must not be acknowledged before the start is settled.
 	holding []string
 }
@@ -74,7 +77,7 @@
 func newOpenStarts(maxLease fulmarclock.Millis) *openStarts {
 	return &openStarts{
 		maxLease: maxLease, starts: map[startKey]*openStart{}, ofTasks: map[fulmarjob.TaskID][]startKey{}, atExecutors: map[string][]startKey{},
-		strays: map[fulmarjob.TaskID]int{}, draining: map[string]bool{}, changed: map[string]bool{},
+		strays: map[fulmarjob.TaskID]int{}, changed: map[string]bool{},
 	}
 }
 
@@ -91,12 +94,22 @@
 // extend sets the times of a start for a command that is sent now.
 func (o *openStarts) extend(start *openStart, now fulmarclock.Millis) {
 	start.until = now + lateExecutionBound
-	start.presentUntil = start.until + fulmarclock.Millis(float64(o.maxLease)/minClockRate)
+	start.presentUntil = o.leaseEnd(start.until)
+}
+
+// leaseEnd returns by when the lease of a run that was begun at a time has expired.
+func (o *openStarts) leaseEnd(begun fulmarclock.Millis) fulmarclock.Millis {
+	return begun + fulmarclock.Millis(float64(o.maxLease)/minClockRate)
 }
 
 // noteResult records the result of a start command that was sent at sentAt. It returns the start if none of the run
 // can be executed any more, or nil. The command is settled if its only attempt was answered, or never sent.
 func (o *openStarts) noteResult(now fulmarclock.Millis, key startKey, sentAt fulmarclock.Millis, attempts int, result fulmarjob.CommandResult) *openStart {
+	start := o.starts[key]
+	if start == nil || sentAt < start.since {
+		return nil
+	}
+	start.begun = start.begun || attempts > 1 || result == fulmarjob.ResultDone || result == fulmarjob.ResultUnknown
 	if attempts > 1 || result == fulmarjob.ResultUnknown {
 		return nil
 	}
@@ -104,8 +117,8 @@
 }
 
 // noteSettled records that all attempts of a start command that was sent at sentAt were answered, or never sent.
-// It returns the start if none of the run can be executed any more, or nil. One that was executed after its run had
-// been removed from the executor has begun a run that no report has shown.
+// It returns the start if none of the run can be executed any more, or nil. One that may have begun a run stays until
+// a report that is requested later.
 func (o *openStarts) noteSettled(now fulmarclock.Millis, key startKey, sentAt fulmarclock.Millis) *openStart {
 	start := o.starts[key]
 	if start == nil || sentAt < start.since {
@@ -115,11 +128,12 @@
 	if start.unsettled > 0 {
 		return nil
 	}
-	if start.removed {
-		start.until = min(start.until, now)
+	if !start.begun {
+		o.remove(key)
 		return start
 	}
-	o.remove(key)
+	start.until = min(start.until, now)
+	start.presentUntil = min(start.presentUntil, o.leaseEnd(now))
 	return start
 }
 
@@ -134,7 +148,7 @@
 // lists it for the executor.
 func (o *openStarts) noteRemoved(key startKey) {
 	if start := o.starts[key]; start != nil {
-		start.removed = true
+		start.removed, start.removedAt = true, o.now
 		o.changed[key.executor] = true
 	}
 }
@@ -142,7 +156,7 @@
 // noteInherited records a start of a previous owner that may be open. When it was sent is unknown. A task that lasts
 // does not wait for the lease of a run that a late start begins out of reach.
 func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed, isLasting bool) {
-	start := o.add(key, &openStart{since: now, unsettled: 1, inherited: true, gang: gang, removed: removed})
+	start := o.add(key, &openStart{since: now, unsettled: 1, inherited: true, gang: gang, begun: true, removed: removed, removedAt: now})
 	o.extend(start, now)
 	if isLasting {
 		start.presentUntil = start.until
@@ -205,31 +219,24 @@
 
 // permits reports whether a new run of a task may be placed on an executor: no earlier one may be present, or may
 // still be started. The executor of the earlier start, which has one incarnation at a time, may have a task that
-// lasts, for which the wait would be too long, or one of a previous owner, which may not have sent the start at all. A
-// task that lasts leaves an executor that drains: no later incarnation is expected there.
+// lasts, or one of a previous owner, which may not have sent the start at all. A task that lasts can't wait for
+// longer than maxLastingWait.
 func (o *openStarts) permits(task fulmarjob.TaskID, executor string, isLasting bool) bool {
 	if o.strays[task] > 0 {
 		return false
 	}
 	for _, key := range o.ofTasks[task] {
-		mayShare := isLasting || o.starts[key].inherited
-		mayLeave := isLasting && o.draining[key.executor]
-		if !mayLeave && (!mayShare || key.executor != executor) {
+		start := o.starts[key]
+		if isLasting && start.removed && o.now > start.removedAt+maxLastingWait {
+			continue
+		}
+		if key.executor != executor || !isLasting && !start.inherited {
 			return false
 		}
 	}
 	return true
 }
 
-// noteDraining records whether an executor drains.
-func (o *openStarts) noteDraining(executor string, isDraining bool) {
-	if isDraining {
-		o.draining[executor] = true
-		return
-	}
-	delete(o.draining, executor)
-}
-
 // noteStray adds to the number of a task's stray runs.
 func (o *openStarts) noteStray(task fulmarjob.TaskID, change int) {
 	o.strays[task] += change
@@ -247,27 +254,34 @@
 	return 0
 }
 
-// noteReport drops the starts that could no longer be executed when a report of their executor was requested: it
-// lists the runs that they may have begun.
-func (o *openStarts) noteReport(executor string, sentAt fulmarclock.Millis) {
+// noteReport drops the starts that could no longer be executed when a report of their executor was requested, as it
+// lists the runs that they may have begun: those of runs that are placed there, or the others.
+func (o *openStarts) noteReport(executor string, sentAt fulmarclock.Millis, placed bool) {
 	for _, key := range slices.Clone(o.atExecutors[executor]) {
-		if o.starts[key].until <= sentAt {
+		if start := o.starts[key]; start.until < sentAt && start.removed != placed {
 			o.remove(key)
 		}
 	}
 }
 
-// awaitingReport returns the executors whose next report shows whether a start that can't be executed any more has
-// begun a run.
-func (o *openStarts) awaitingReport(now fulmarclock.Millis) []string {
-	var executors []string
-	for key, start := range o.starts {
-		if start.until <= now && start.goneAt == 0 {
-			executors = append(executors, key.executor)
+// needReport returns the starts, at an executor or at all of them if it is empty, that can't be executed any more and
+// may have begun a run that the next report shows.
+func (o *openStarts) needReport(now fulmarclock.Millis, executor string) []startKey {
+	var keys []startKey
+	for _, key := range o.keysAt(executor) {
+		if o.starts[key].until <= now {
+			keys = append(keys, key)
 		}
 	}
-	slices.Sort(executors)
-	return slices.Compact(executors)
+	return keys
+}
+
+// keysAt returns the starts at an executor, or all of them if it is empty.
+func (o *openStarts) keysAt(executor string) []startKey {
+	if executor != "" {
+		return o.atExecutors[executor]
+	}
+	return slices.Collect(maps.Keys(o.starts))
 }
 
 // noteKnown records whether an executor is known, or has no entry and no tasks and counts as gone from goneAt on.
@@ -286,6 +300,7 @@
 
 // dropExpired drops the starts of which no run can be present any more.
 func (o *openStarts) dropExpired(now fulmarclock.Millis) {
+	o.now = now
 	for key, start := range o.starts {
 		if start.presentUntil <= now || start.goneAt > 0 && start.goneAt <= now {
 			o.remove(key)
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -35,13 +35,14 @@
 func (s *Scheduler) sendRenewal(e *executor) {
 	e.renewalInFlight, e.renewalDue, e.renewalSentAt = true, 0, s.now
 	c := RenewCommand{Target: e.target(), Token: e.fence.token, Acknowledged: s.dueAcknowledgement(e)}
+	e.requestedAcknowledgement = c.Acknowledged
 	// A renewal to an unresponsive executor only requests a report: its lease must expire.
 	if e.hasClock && e.failedRenewals == 0 && !e.unresponsive.recorded && len(e.tasks) > 0 {
 		c.Deadline = e.clockLowerBound(s.now) + s.leaseDuration()
 		e.extendLeaseBound(s.now, c.Deadline, s.params.MaxLease)
 	}
 	hasAllEnds := e.finishedSeen == max(e.acknowledgementConfirmed, c.Acknowledged)
-	if e.fence.accepted && e.failedRenewals == 0 && hasAllEnds && len(e.tasks) > 0 && !e.watchesRepeatSuspect() && !e.hasUnlistedStop() {
+	if e.fence.accepted && e.failedRenewals == 0 && hasAllEnds && len(e.tasks) > 0 && !e.watchesRepeatSuspect() && !e.hasUnlistedStop() && !s.keepsTaskWaiting(e) {
 		c.Wait = s.pollWait(e)
 	}
 	e.fence.noteSent(c)
@@ -62,11 +63,11 @@
 // dueAcknowledgement returns the sequence number up to which a renewal acknowledges finished runs,
 // zero for none. A later incarnation under the executor's ID numbers its finished runs anew, and the
 // number would delete those that nobody has read. So it is not sent while a start is on its way that
-// could have ended on a later incarnation: a report comes first. An acknowledgement without a response
+// could have ended on a later incarnation, or an entry names another one: a report comes first. An acknowledgement without a response
 // is repeated; the fence keeps the earlier one from following a later start.
 func (s *Scheduler) dueAcknowledgement(e *executor) int64 {
 	due := s.acknowledgeable(e)
-	if e.retired || due <= e.acknowledgementConfirmed || e.failedRenewals > 0 || s.hasUnreportedStart(e) {
+	if e.retired || due <= e.acknowledgementConfirmed || e.failedRenewals > 0 || e.hasClaim() || s.hasUnreportedStart(e) {
 		return 0
 	}
 	return due
@@ -172,26 +173,51 @@
 		s.logUnreadEnds(e, report.Finished)
 	}
 	s.noteUnlisted(e, report)
+	s.openStarts.noteReport(e.info.ID, sentAt, true)
 	s.handleFinished(e, report.Finished)
 	s.reconcileRunning(e, sentAt, report.Running)
-	s.openStarts.noteReport(e.info.ID, sentAt)
+	s.openStarts.noteReport(e.info.ID, sentAt, false)
 	s.adjustSpeeds(e)
-	s.scheduleNextRenewal(e, tokenWasAccepted)
+	s.scheduleNextRenewal(e, tokenWasAccepted, c.Acknowledged < e.requestedAcknowledgement)
 	s.deleteIfUnused(e)
 }
 
-// requestReports asks executors for reports that show whether an open start has begun a run there.
+// requestReports asks executors for reports that show whether an open start has begun a run of a task that waits. It
+// drops those of tasks that never run again.
 func (s *Scheduler) requestReports() {
-	for _, id := range s.openStarts.awaitingReport(s.now) {
-		if e := s.executors[id]; e != nil && !e.renewalInFlight && e.renewalDue == 0 {
-			s.scheduleRenewal(e, max(s.now, e.renewalSentAt+probeInterval))
+	for _, key := range s.openStarts.needReport(s.now, "") {
+		t, e := s.findTask(key.run.task), s.executors[key.executor]
+		if t == nil || t.state == taskDone {
+			s.openStarts.remove(key)
+			continue
+		}
+		if e == nil || t.state != taskWaiting {
+			continue
+		}
+		if e.renewalInFlight && e.renewalSentAt <= s.openStarts.starts[key].until {
+			// The renewal in flight may wait for the end of a run.
+			e.renewalInFlight = false
+			s.scheduleRenewal(e, 0)
+		}
+		if !e.renewalInFlight && e.renewalDue == 0 {
+			s.scheduleRenewal(e, e.renewalSentAt+probeInterval)
 		}
 	}
 }
 
+// keepsTaskWaiting reports whether a task waits for the next report of an executor.
+func (s *Scheduler) keepsTaskWaiting(e *executor) bool {
+	return slices.ContainsFunc(s.openStarts.needReport(s.now, e.info.ID), func(key startKey) bool { return s.isWaiting(key.run.task) })
+}
+
+func (s *Scheduler) isWaiting(id fulmarjob.TaskID) bool {
+	t := s.findTask(id)
+	return t != nil && t.state == taskWaiting
+}
+
 // scheduleNextRenewal schedules the renewal after a report. An executor without tasks, stray runs
-// and unacknowledged finished runs needs none.
-func (s *Scheduler) scheduleNextRenewal(e *executor, tokenWasAccepted bool) {
+// and unacknowledged finished runs needs none. leftOut means that the last renewal could not acknowledge in time.
+func (s *Scheduler) scheduleNextRenewal(e *executor, tokenWasAccepted, leftOut bool) {
 	if !e.fence.accepted {
 		s.scheduleRenewal(e, 0)
 		return
@@ -201,8 +227,10 @@
 	}
 	due := s.dueAcknowledgement(e)
 	switch {
-	case !tokenWasAccepted || due > 0:
+	case !tokenWasAccepted || due > 0 && !leftOut:
 		s.scheduleRenewal(e, 0)
+	case due > 0:
+		s.scheduleRenewal(e, max(s.now, e.renewalSentAt+s.renewalInterval))
 	case e.finishedSeen > e.acknowledged:
 		s.scheduleRenewal(e, s.now+unjournaledRenewalInterval)
 	case len(e.tasks) == 0 && len(e.strayRuns) == 0 && len(e.heldEnds) > 0:
