--- a/internal/fulmarowner/options.go
+++ b/internal/fulmarowner/options.go
@@ -12,7 +12,8 @@
 )
 
 // Executors sends commands to executors. The context's deadline is the command's timeout;
-// an error explains a ResultUnknown or an unexpected response.
+// an error explains a ResultUnknown, a ResultUnreachable or an unexpected response. The context
+// carries the fulmarattempt.Attempt, which an implementation tracks and asks before it writes.
 type Executors interface {
 	Start(ctx context.Context, address, id string, s fulmarjob.StartRequest) (fulmarjob.CommandResult, error)
 	Stop(ctx context.Context, address, id string, task fulmarjob.TaskID, run, token int64) (fulmarjob.CommandResult, error)
