fulmarsched: wait for leases that this owner did not grant

Cause: the first renewal for an executor that has restarted has a deadline on the clock of the incarnation before, far ahead on the new one's: its lease becomes the longest, 10 s, and applies to everything there. The owner knew that, and forgot it with the executor: a new owner, or the same one once an entry was missing for a moment. It then counted its own grants of 5 s only, and started the tasks of an executor that was cut off elsewhere while they ran on.

Change: when an executor first accepts a token of the owner, the bound of its leases is extended by what earlier commands may have granted; one that has been up for 18 s costs nothing more. A renewal for an incarnation that only an entry names grants none. A start beside one of an earlier run on the same executor (tasks that last, and those of a previous owner) is sent only right after a report, so that the executor can't have restarted in between.

--- a/internal/fulmarsched/constants.go
+++ b/internal/fulmarsched/constants.go
@@ -12,6 +12,8 @@
 	renewalFraction = 0.25
 	// startValidity is how long a start command may be executed after it was sent.
 	startValidity = 2500 * fulmarclock.Millis(1)
+	// freshReport is how long after its request a report shows that its executor can't have restarted since.
+	freshReport = 20 * fulmarclock.Millis(1)
 	// lateExecutionBound is how long after it was sent a command, any hedged attempt of it included, may
 	// be executed without a response.
 	lateExecutionBound = 13 * fulmarclock.Second
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -113,17 +113,23 @@
 	if attempts > 1 || result == fulmarjob.ResultUnknown {
 		return nil
 	}
-	return o.noteSettled(now, key, sentAt)
+	return o.settle(now, key)
 }
 
-// noteSettled records that all attempts of a start command that was sent at sentAt were answered, or never sent.
-// It returns the start if none of the run can be executed any more, or nil. One that may have begun a run stays until
-// a report that is requested later.
+// noteSettled records that all attempts of a start command that was sent at sentAt were answered, or never sent, some
+// of them after its result. It returns the start if none of the run can be executed any more, or nil.
 func (o *openStarts) noteSettled(now fulmarclock.Millis, key startKey, sentAt fulmarclock.Millis) *openStart {
 	start := o.starts[key]
 	if start == nil || sentAt < start.since {
 		return nil
 	}
+	start.begun = true
+	return o.settle(now, key)
+}
+
+// settle ends one command of a start. A start that may have begun a run stays until a report that is requested later.
+func (o *openStarts) settle(now fulmarclock.Millis, key startKey) *openStart {
+	start := o.starts[key]
 	start.unsettled--
 	if start.unsettled > 0 {
 		return nil
@@ -227,7 +233,7 @@
 	}
 	for _, key := range o.ofTasks[task] {
 		start := o.starts[key]
-		if isLasting && start.removed && o.now > start.removedAt+maxLastingWait {
+		if isLasting && start.hasKeptWaiting(o.now) {
 			continue
 		}
 		if key.executor != executor || !isLasting && !start.inherited {
@@ -237,6 +243,18 @@
 	return true
 }
 
+// delaysStart reports whether a start of another run of a task may still be executed, beside one that is sent now.
+func (o *openStarts) delaysStart(task fulmarjob.TaskID, run int64, isLasting bool) bool {
+	return slices.ContainsFunc(o.ofTasks[task], func(key startKey) bool {
+		return key.run.run != run && o.isOpen(o.now, key) && !(isLasting && o.starts[key].hasKeptWaiting(o.now))
+	})
+}
+
+// hasKeptWaiting reports whether a task that lasts has waited for the start for as long as it may.
+func (s *openStart) hasKeptWaiting(now fulmarclock.Millis) bool {
+	return s.removed && now > s.removedAt+maxLastingWait
+}
+
 // noteStray adds to the number of a task's stray runs.
 func (o *openStarts) noteStray(task fulmarjob.TaskID, change int) {
 	o.strays[task] += change
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -36,8 +36,9 @@
 	e.renewalInFlight, e.renewalDue, e.renewalSentAt = true, 0, s.now
 	c := RenewCommand{Target: e.target(), Token: e.fence.token, Acknowledged: s.dueAcknowledgement(e)}
 	e.requestedAcknowledgement = c.Acknowledged
-	// A renewal to an unresponsive executor only requests a report: its lease must expire.
-	if e.hasClock && e.failedRenewals == 0 && !e.unresponsive.recorded && len(e.tasks) > 0 {
+	// A renewal to an unresponsive executor only requests a report: its lease must expire. So does one to an
+	// incarnation that only an entry names: a deadline on the clock of another is far ahead there.
+	if e.hasClock && !e.hasClaim() && e.failedRenewals == 0 && !e.unresponsive.recorded && len(e.tasks) > 0 {
 		c.Deadline = e.clockLowerBound(s.now) + s.leaseDuration()
 		e.extendLeaseBound(s.now, c.Deadline, s.params.MaxLease)
 	}
@@ -165,6 +166,7 @@
 		s.confirmEntry(e)
 	}
 	if e.fence.accepted && !tokenWasAccepted {
+		s.noteEarlierLeases(e)
 		s.log.Log("executor accepted the fencing token", "executor", e.info.ID, "running", len(report.Running), "ended", len(report.Finished), "placed", len(e.tasks))
 	}
 	s.dropLapse(e.info.VM)
@@ -182,6 +184,14 @@
 	s.deleteIfUnused(e)
 }
 
+// noteEarlierLeases extends the lease bound of an executor that has just accepted a token of this owner by what earlier
+// commands may have granted: a previous owner's, at most a lease of the usual duration, and those for earlier
+// incarnations, whose deadlines are far ahead on this one's clock.
+func (s *Scheduler) noteEarlierLeases(e *executor) {
+	longest := min(e.clock, lateExecutionBound) + s.params.MaxLease
+	e.extendLeaseBound(s.now, max(e.clock+s.leaseDuration(), longest), s.params.MaxLease)
+}
+
 // requestReports asks executors for reports that show whether an open start has begun a run of a task that waits. It
 // drops those of tasks that never run again.
 func (s *Scheduler) requestReports() {
--- a/internal/fulmarsched/start.go
+++ b/internal/fulmarsched/start.go
@@ -24,6 +24,11 @@
 		s.unsettleStart(t)
 		return
 	}
+	if s.now >= e.reportSentAt+freshReport && !t.step.Speculative && s.openStarts.delaysStart(t.id, t.run, t.step.LongRunning) {
+		// The executor may have restarted since, and then have executed the earlier start.
+		s.scheduleProbe(e)
+		return
+	}
 	if !e.hasRoomFor(t) {
 		s.withdrawStart(t, stopCapacityShrunk)
 		return
