fulmarsched: keep unexpected runs in the record of open starts, and count their failures

The failure of a run that is not placed any more counts if it is newer than the last one that counted.

--- a/internal/fulmarsched/capacity.go
+++ b/internal/fulmarsched/capacity.go
@@ -31,6 +31,9 @@
 // this run. Until the executor reports its end, the run counts against the capacity. The other run of a
 // task with a copy has been sent a stop before, which is repeated only if it has no effect.
 func (s *Scheduler) stopUnexpectedRun(e *executor, r fulmarjob.RunningTask, sentAt fulmarclock.Millis) {
+	if t := s.findTask(r.Task); t != nil && t.state != taskDone && !t.step.Speculative {
+		s.openStarts.notePresent(s.now, startKey{e.info.ID, runKey{r.Task, r.Run}}, t.step.Gang)
+	}
 	if known, found := e.strayRuns[runKey{r.Task, r.Run}]; found && s.now <= known.stopSentAt+s.params.StopTimeout+resendDelay {
 		known.assumedUntil = max(known.assumedUntil, sentAt)
 		e.strayRuns[runKey{r.Task, r.Run}] = known
--- a/internal/fulmarsched/finishedrun.go
+++ b/internal/fulmarsched/finishedrun.go
@@ -78,6 +78,7 @@
 		s.finishCopy(t, r, isCurrent)
 		s.completeTask(e, t, f, isCurrent)
 	case !isCurrent:
+		s.countLateFailure(e, t, f)
 		return
 	case f.Outcome == fulmarjob.RunFailed:
 		s.handleFailure(e, r)
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -282,6 +282,17 @@
 	}
 }
 
+// notePresent records that a report lists a run that is not placed on its executor, until one does not.
+func (o *openStarts) notePresent(now fulmarclock.Millis, key startKey, gang bool) {
+	start := o.starts[key]
+	if start == nil {
+		start = o.add(key, &openStart{since: now, begun: true, gang: gang, removed: true, removedAt: now})
+		o.changed[key.executor] = true
+	}
+	start.until = max(start.until, now)
+	start.presentUntil = max(start.presentUntil, o.leaseEnd(now))
+}
+
 // needReport returns the starts, at an executor or at all of them if it is empty, that can't be executed any more and
 // may have begun a run that the next report shows.
 func (o *openStarts) needReport(now fulmarclock.Millis, executor string) []startKey {
