fulmarsched: executors of simulations have been up for long

Cause: executors of simulations had been up for some seconds at most. A deadline on such a clock has passed soon on the clock of the next incarnation, so that a late start or renewal gave it a lease of two or three seconds, not the longest one. That hid runs that outlive the owner's lease bound (TestLeaseThatOwnerDidNotGrantIsWaitedFor).

Change: the first executors of each simulation have been up for 1,000 s. The check is stricter everywhere.

--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -19,13 +19,9 @@
 	target  *fakeExecutor
 }
 
-// newOldSimulation returns a simulation whose executors have been up for long, so that a deadline on the clock of one
-// is far ahead on that of the next incarnation.
-func newOldSimulation(t *testing.T, executors int) *simulation {
+// newReadySimulation returns a simulation whose executors have reported.
+func newReadySimulation(t *testing.T, executors int) *simulation {
 	sim := newSimulation(t, executors)
-	for _, e := range sim.executors {
-		e.startedAt -= 1000 * fulmarclock.Second
-	}
 	sim.runUntil(1200)
 	return sim
 }
@@ -85,7 +81,7 @@
 	for _, lateBy := range []fulmarclock.Millis{1000, 6000, lateExecutionBound - 2*simulationStep} {
 		for _, ownerChanges := range []int{0, 1} {
 			t.Run(fmt.Sprintf("%d ms late/%d changes of the owner", lateBy, ownerChanges), func(t *testing.T) {
-				sim := newOldSimulation(t, 2)
+				sim := newReadySimulation(t, 2)
 				sim.runsTake(20000)
 				lost := sim.loseAttempt(jobID(1), step(1))
 				lost.target.restartHidden()
@@ -104,7 +100,7 @@
 	for _, lateBy := range []fulmarclock.Millis{1500, 6000, lateExecutionBound - 2*simulationStep} {
 		for _, ownerChanges := range []int{0, 1} {
 			t.Run(fmt.Sprintf("%d ms late/%d changes of the owner", lateBy, ownerChanges), func(t *testing.T) {
-				sim := newOldSimulation(t, 2)
+				sim := newReadySimulation(t, 2)
 				sim.runsTake(20000)
 				lost := sim.repeatAttempt(jobID(1), step(1))
 				sim.changeOwner(ownerChanges)
@@ -121,7 +117,7 @@
 
 // A start that is executed just before it can't be any more must not run beside one sent just afterwards.
 func TestTaskIsNotPlacedElsewhereBeforeLateRunCanBeReported(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runsTake(20000)
 	lost := sim.loseAttempt(jobID(1), step(1))
 	e := lost.target
@@ -150,7 +146,7 @@
 	}{{"same owner", step(1), 3000, 0}, {"new owner", step(1), 3000, 1}, {"lasting task", longRunningStep(1, 1), 1 << 40, 0}} {
 		for _, downtime := range []fulmarclock.Millis{20, 50} {
 			t.Run(fmt.Sprintf("%s/down for %d ms", row.name, downtime), func(t *testing.T) {
-				sim := newOldSimulation(t, 2)
+				sim := newReadySimulation(t, 2)
 				sim.runsTake(row.duration)
 				lost := sim.loseAttempt(jobID(1), row.step)
 				e := lost.target
@@ -180,7 +176,7 @@
 
 // A start must not be executed beside a newer run once its executor is back after a long time without an entry.
 func TestStartOutlivesLongAbsenceOfExecutor(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runsTake(20000)
 	lost := sim.loseAttempt(jobID(1), step(1))
 	sim.lose(lost.target, silenceTimeout)
@@ -195,7 +191,7 @@
 func TestAcknowledgementDeletesNoEndOfLateRun(t *testing.T) {
 	for _, arrivesAfter := range []fulmarclock.Millis{300, 600} {
 		t.Run(fmt.Sprintf("%d ms after the restart", arrivesAfter), func(t *testing.T) {
-			sim := newOldSimulation(t, 1)
+			sim := newReadySimulation(t, 1)
 			sim.runBehavior = func(id fulmarjob.TaskID, _ int64, e *fakeExecutor) (fulmarclock.Millis, bool) {
 				if id.Job == jobID(1) && e.clock() > 10000 {
 					return 5000, false
@@ -238,7 +234,7 @@
 
 // A lasting task whose executor drains must be moved in time, though an attempt of its start is open.
 func TestLastingTaskWithOpenStartIsMovedInTime(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runBehavior = runsForever
 	lost := sim.repeatAttempt(jobID(1), longRunningStep(1, 1))
 	sim.runUntil(sim.now + 1000)
@@ -254,7 +250,7 @@
 		listed int
 	}{{"many held ends", 60, 500}, {"few listed ends", 4, 3}} {
 		t.Run(row.name, func(t *testing.T) {
-			sim := newOldSimulation(t, 2)
+			sim := newReadySimulation(t, 2)
 			sim.maxListedFinished = row.listed
 			for _, e := range sim.executors {
 				e.info.Capacity = roomFor(100)
@@ -295,7 +291,7 @@
 func TestRefusedStartOfInheritedRunIsFollowedByNoSecondRun(t *testing.T) {
 	for _, result := range []fulmarjob.CommandResult{fulmarjob.ResultDeadlineExceeded, fulmarjob.ResultNoCapacity, fulmarjob.ResultUnhealthy, fulmarjob.ResultOtherIncarnation} {
 		t.Run(result.String(), func(t *testing.T) {
-			sim := newOldSimulation(t, 2)
+			sim := newReadySimulation(t, 2)
 			sim.runsTake(8000)
 			lost := sim.loseAttempt(jobID(1), step(1))
 			sim.newOwner()
@@ -323,7 +319,7 @@
 func TestRunOfStartThatIsAnsweredLateIsNotRepeatedElsewhere(t *testing.T) {
 	for _, ownerKnows := range []bool{false, true} {
 		t.Run(fmt.Sprintf("the owner knows the incarnation %v", ownerKnows), func(t *testing.T) {
-			sim := newOldSimulation(t, 2)
+			sim := newReadySimulation(t, 2)
 			sim.runsTake(5000)
 			lost := sim.loseAttempt(jobID(1), step(1))
 			e := lost.target
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -12,6 +12,10 @@
 // simulationStep is the time resolution of a simulation.
 const simulationStep = 10 * fulmarclock.Millis(1)
 
+// simulatedUptime is how long the first executors of a simulation have been up. A deadline on the clock of one is far
+// ahead on that of its next incarnation.
+const simulatedUptime = 1000 * fulmarclock.Second
+
 var testParameters = Parameters{
 	MaxLease: 10000, StopTimeout: 400, StatusRetention: 120000, TakeoverDelay: 3000, AcknowledgeTimeout: 4000,
 	MaintenanceDuration: 2000, MoveDuration: 1500,
@@ -148,7 +152,7 @@
 		crashDelay:        10, crashDowntime: 3200, crashesUnder: map[fulmarjob.TaskID][]fulmarclock.Millis{}, endsLost: map[fulmarjob.TaskID]int{},
 	}
 	for i := range executors {
-		sim.addExecutor(fmt.Sprintf("x-%d", i), fmt.Sprintf("vm-%d", i))
+		sim.addExecutor(fmt.Sprintf("x-%d", i), fmt.Sprintf("vm-%d", i)).startedAt -= simulatedUptime
 	}
 	sim.newOwner()
 	t.Cleanup(sim.checkStops)
--- a/internal/fulmarsched/unknownlease_test.go
+++ b/internal/fulmarsched/unknownlease_test.go
@@ -48,7 +48,7 @@
 			{"late renewal", restartBeforeRenewal},
 		} {
 			t.Run(row.name+"/"+r.name, func(t *testing.T) {
-				sim := newOldSimulation(t, 2)
+				sim := newReadySimulation(t, 2)
 				sim.runsTake(500)
 				sim.submit(jobID(1), step(1))
 				sim.waitFor(sim.now+3000, "the task runs", func() bool { return sim.runningCount() == 1 })
