--- a/internal/fulmarsched/settledstart_test.go
+++ b/internal/fulmarsched/settledstart_test.go
@@ -16,7 +16,7 @@
 func TestLateStartOnRestartedDrainedExecutorDoesNotJoinLastingTask(t *testing.T) {
 	for _, downtime := range []fulmarclock.Millis{20, 70, 1000} {
 		t.Run(fmt.Sprintf("down for %d ms", downtime), func(t *testing.T) {
-			sim := newOldSimulation(t, 2)
+			sim := newReadySimulation(t, 2)
 			sim.runBehavior = runsForever
 			lost := sim.repeatAttempt(jobID(1), longRunningStep(1, 1))
 			e := lost.target
@@ -36,7 +36,7 @@
 
 // A lasting task must run again in time though its start is open at an executor that left before the owner changed.
 func TestLastingTaskDoesNotWaitForExecutorThatNewOwnerNeverMet(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runBehavior = runsForever
 	lost := sim.repeatAttempt(jobID(1), longRunningStep(1, 1))
 	e := lost.target
@@ -75,7 +75,7 @@
 		{"other service", func(e *fakeExecutor) { e.info.Service = "other" }},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			sim := newOldSimulation(t, 2)
+			sim := newReadySimulation(t, 2)
 			sim.runBehavior = runsForever
 			lost := sim.loseAttempt(jobID(1), longRunningStep(1, 1))
 			e := lost.target
@@ -91,7 +91,7 @@
 
 // A start that is answered while its task is still placed must not count as over before a report shows the run.
 func TestRunOfAnsweredStartIsNotRepeatedAfterStopByEarlierIncarnation(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runsTake(5000)
 	lost := sim.loseAttempt(jobID(1), step(1))
 	e := lost.target
@@ -118,7 +118,7 @@
 func TestFailedRunIsRepeatedSoonAfterItsStartIsSettled(t *testing.T) {
 	for _, settledAfter := range []fulmarclock.Millis{100, 600} {
 		t.Run(fmt.Sprintf("settled after %d ms", settledAfter), func(t *testing.T) {
-			sim := newOldSimulation(t, 1)
+			sim := newReadySimulation(t, 1)
 			sim.longPolls = true
 			sim.runBehavior = func(id fulmarjob.TaskID, run int64, _ *fakeExecutor) (fulmarclock.Millis, bool) {
 				if id.Job == jobID(1) && run == 1 {
@@ -139,7 +139,7 @@
 
 // A new owner must not place a task beside a run whose stop the owner before had sent without an answer.
 func TestStrayRunOutlivesOwnerThatSettledItsStart(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runsTake(20000)
 	lost := sim.loseAttempt(jobID(1), step(1))
 	e := lost.target
@@ -168,7 +168,7 @@
 
 // The failure of a run that a late start has begun counts as one of the task's attempts, as its end is acknowledged.
 func TestFailureOfLateRunCountsAsAttempt(t *testing.T) {
-	sim := newOldSimulation(t, 2)
+	sim := newReadySimulation(t, 2)
 	sim.runBehavior = func(fulmarjob.TaskID, int64, *fakeExecutor) (fulmarclock.Millis, bool) { return 20, true }
 	lost := sim.loseAttempt(jobID(1), step(1))
 	e := lost.target
