fulmarsched: say when an open start ends, and which placements it permits

Cause: the review read what removes a start in five places, and a double negation in permits.

Change: a table in the comment of openStart, permits in two functions with one case each, names for the executor that is or isn't known, comments that give reasons. No decision changes.

Result: the tests of starts, held ends, leases and explanations pass.

--- a/internal/fulmarjob/executor.go
+++ b/internal/fulmarjob/executor.go
@@ -137,7 +137,8 @@
 	ResultOtherIncarnation
 	// ResultInvalid means that the command was malformed.
 	ResultInvalid
-	// ResultUnreachable means that no connection could be made: the command was never sent.
+	// ResultUnreachable means that the command was never sent: no connection could be made, or it was given up
+	// before anything of it was written.
 	ResultUnreachable
 )
 
--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -122,7 +122,7 @@
 	e := &executor{tasks: map[fulmarjob.TaskID]*task{}, lastResultAt: s.now, idleSince: s.now, unlistedAt: s.now, fence: s.newFence(), ledger: s.quotas.ledger, openStarts: s.openStarts}
 	e.info.ID = id
 	s.executors[id] = e
-	s.openStarts.noteKnown(id, 0)
+	s.openStarts.noteKnown(id)
 	at, _ := slices.BinarySearchFunc(s.executorList, id, compareID)
 	s.executorList = slices.Insert(s.executorList, at, e)
 	s.serviceIndex = nil
@@ -141,7 +141,7 @@
 // deleteExecutor removes an executor from the scheduler's state.
 func (s *Scheduler) deleteExecutor(e *executor) {
 	delete(s.executors, e.info.ID)
-	s.openStarts.noteKnown(e.info.ID, s.now+entryReturnTimeout)
+	s.openStarts.noteUnknown(e.info.ID, s.now+entryReturnTimeout)
 	s.deletedToken = max(s.deletedToken, e.fence.token)
 	s.expireTickets(e.info.ID)
 	if at, found := slices.BinarySearchFunc(s.executorList, e.info.ID, compareID); found {
--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -22,7 +22,8 @@
 	token  int64
 }
 
-// tokensPerRevision is the number of fencing tokens for each revision of the journal.
+// tokensPerRevision is the number of fencing tokens for each revision of the journal: more than an executor restarts
+// without an append in between.
 const tokensPerRevision = 1 << 10
 
 // FirstToken returns the lowest fencing token to executors for a revision of the journal, above all of an earlier one.
--- a/internal/fulmarsched/heldend.go
+++ b/internal/fulmarsched/heldend.go
@@ -5,14 +5,14 @@
 	"github.com/fulmardrum/fulmardrum/internal/fulmarjob"
 )
 
-// heldEnd is a finished run that must not be acknowledged yet, because its start is open: a later
-// incarnation of the executor may execute that, although the run has ended and its end is acknowledged. An
-// end without an acknowledgement is lost with its incarnation.
+// heldEnd is a finished run that must not be acknowledged yet, because a start of its task is open: a later
+// incarnation of that executor may execute it, although the end is acknowledged. An end without an
+// acknowledgement is lost with its incarnation.
 type heldEnd struct {
 	sequence int64
 	run      runKey
-	// starts are the open starts at the time of the report: that of the run and, as the end of one member
-	// of a gang stands for all of them, those of the other members.
+	// starts are the open starts at the time of the report: those of all runs of the task and, as the end of one
+	// member of a gang stands for all of them, those of the other members.
 	starts []startKey
 }
 
@@ -54,7 +54,8 @@
 // logGivenUp logs a held end that is acknowledged although a start that must not follow it may still be executed.
 func (s *Scheduler) logGivenUp(e *executor, h heldEnd) {
 	start, id := h.starts[0], h.run.task
-	s.log.Log("acknowledging the end of a run although a start of its task may still be executed, as its executor may have more finished runs than it lists", "job", id.Job, "step", id.Step, "index", id.Index, "run", h.run.run, "executor", e.info.ID, "sequence", h.sequence, "start_executor", start.executor, "start_run", start.run.run, "open_for_ms", s.openStarts.latest(s.now, h.starts)-s.now)
+	s.log.Log("acknowledging the end of a run although a start of its task may still be executed, as its executor may have more finished runs than it lists",
+		"job", id.Job, "step", id.Step, "index", id.Index, "run", h.run.run, "executor", e.info.ID, "sequence", h.sequence, "start_executor", start.executor, "start_run", start.run.run, "open_for_ms", s.openStarts.latest(s.now, h.starts)-s.now)
 	s.log.Count("held_ends_given_up", "")
 }
 
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -49,7 +49,15 @@
 	changed map[string]bool
 }
 
-// openStart is a start with an attempt that has no answer, yet or for good.
+// openStart is a start with an attempt that has no answer, yet or for good, or whose run no report has shown.
+//
+//	event                                  may be executed  may have a run
+//	sent, or inherited                     until            presentUntil
+//	last attempt answered                  no               until a later report
+//	13 s after the last command            no               until a later report
+//	report requested later                 no               no, or as a stray run that it lists
+//	lease of such a run has expired        no               no
+//	executor retired, or gone              no               no
 type openStart struct {
 	// unsettled is the number of start commands with such an attempt.
 	unsettled int
@@ -59,7 +67,7 @@
 	// which the lease of a run that one of them began has expired.
 	until        fulmarclock.Millis
 	presentUntil fulmarclock.Millis
-	// goneAt is when the executor counts as gone for good, zero while it is known.
+	// goneAt is when an executor that is not known counts as gone for good, zero while it is known.
 	goneAt fulmarclock.Millis
 	// inherited means that a previous owner may have sent one.
 	inherited bool
@@ -160,7 +168,7 @@
 }
 
 // noteInherited records a start of a previous owner that may be open. When it was sent is unknown. A task that lasts
-// does not wait for the lease of a run that a late start begins out of reach.
+// must run again soon, so it does not wait for the lease of a run that such a start may begin.
 func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed, isLasting bool) {
 	start := o.add(key, &openStart{since: now, unsettled: 1, inherited: true, gang: gang, begun: true, removed: removed, removedAt: now})
 	o.extend(start, now)
@@ -224,23 +232,24 @@
 }
 
 // permits reports whether a new run of a task may be placed on an executor: no earlier one may be present, or may
-// still be started. The executor of the earlier start, which has one incarnation at a time, may have a task that
-// lasts, or one of a previous owner, which may not have sent the start at all. A task that lasts can't wait for
-// longer than maxLastingWait.
+// still be started.
 func (o *openStarts) permits(task fulmarjob.TaskID, executor string, isLasting bool) bool {
 	if o.strays[task] > 0 {
 		return false
 	}
-	for _, key := range o.ofTasks[task] {
-		start := o.starts[key]
-		if isLasting && start.hasKeptWaiting(o.now) {
-			continue
-		}
-		if key.executor != executor || !isLasting && !start.inherited {
-			return false
-		}
+	return !slices.ContainsFunc(o.ofTasks[task], func(key startKey) bool {
+		return !o.starts[key].permits(key.executor == executor, isLasting, o.now)
+	})
+}
+
+// permits reports whether a new run may be placed beside the start. The executor of the start has one incarnation at a
+// time, so that it may have the new run where a wait would cost too much: a task that lasts must run again soon, and
+// a previous owner may not have sent the start at all.
+func (s *openStart) permits(isSameExecutor, isLasting bool, now fulmarclock.Millis) bool {
+	if isLasting && s.hasKeptWaiting(now) {
+		return true
 	}
-	return true
+	return isSameExecutor && (isLasting || s.inherited)
 }
 
 // delaysStart reports whether a start of another run of a task may still be executed, beside one that is sent now.
@@ -313,13 +322,16 @@
 	return slices.Collect(maps.Keys(o.starts))
 }
 
-// noteKnown records whether an executor is known, or has no entry and no tasks and counts as gone from goneAt on.
-func (o *openStarts) noteKnown(executor string, goneAt fulmarclock.Millis) {
+// noteUnknown records that an executor has no entry and no tasks, and counts as gone from goneAt on.
+func (o *openStarts) noteUnknown(executor string, goneAt fulmarclock.Millis) {
 	for _, key := range o.atExecutors[executor] {
 		o.starts[key].goneAt = goneAt
 	}
 }
 
+// noteKnown records that an executor is known, or known again.
+func (o *openStarts) noteKnown(executor string) { o.noteUnknown(executor, 0) }
+
 // dropExecutor drops the starts at an executor that has ended for good: no later incarnation can execute them.
 func (o *openStarts) dropExecutor(executor string) {
 	for _, key := range slices.Clone(o.atExecutors[executor]) {
@@ -434,7 +446,7 @@
 		o.noteInherited(now, key, r.Gang, true, isLasting(key.run.task))
 	}
 	if !isKnown {
-		o.noteKnown(executor, now+lateExecutionBound)
+		o.noteUnknown(executor, now+lateExecutionBound)
 	}
 	return nil
 }
