--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -64,8 +64,8 @@
 // dueAcknowledgement returns the sequence number up to which a renewal acknowledges finished runs,
 // zero for none. A later incarnation under the executor's ID numbers its finished runs anew, and the
 // number would delete those that nobody has read. So it is not sent while a start is on its way that
-// could have ended on a later incarnation, or an entry names another one: a report comes first. An acknowledgement without a response
-// is repeated; the fence keeps the earlier one from following a later start.
+// could have ended on a later incarnation, or while an entry names another one: a report comes first. An
+// acknowledgement without a response is repeated; the fence keeps the earlier one from following a later start.
 func (s *Scheduler) dueAcknowledgement(e *executor) int64 {
 	due := s.acknowledgeable(e)
 	if e.retired || due <= e.acknowledgementConfirmed || e.failedRenewals > 0 || e.hasClaim() || s.hasUnreportedStart(e) {
--- a/internal/fulmarsoak/latecall_test.go
+++ b/internal/fulmarsoak/latecall_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package fulmarsoak
 
 import (
