fulmarsched: log on what grounds leases count as expired

The logs didn't say which bound an executor's leases had when it accepted this owner's token, nor why they counted as expired when its placements ended: whether the executor counted as gone, what the platform's list of VMs said of it, and whether a lease of the longest duration could still last.

--- a/internal/fulmarsched/placement.go
+++ b/internal/fulmarsched/placement.go
@@ -69,6 +69,7 @@
 		return
 	}
 	expired := slices.DeleteFunc(sortedTasks(e), func(t *task) bool { return s.now <= e.leaseEnd(t, s.now)+expiryMargin })
+	s.logExpiry(e, expired)
 	s.recordLapse(e, expired)
 	e.dropStrayRuns()
 	for _, t := range expired {
@@ -79,6 +80,26 @@
 	}
 }
 
+// logExpiry logs on what grounds the leases on an executor count as expired. A lease of the longest duration, granted when
+// the executor last responded, ends longest_lease_ends_in_ms later.
+func (s *Scheduler) logExpiry(e *executor, expired []*task) {
+	if len(expired) == 0 {
+		return
+	}
+	s.log.Log("leases on an executor have expired; ending its placements", "executor", e.info.ID, "born", e.info.Incarnation, "tasks", len(expired), "listed", e.listed,
+		"gone", e.isGone(s.now), "named_by_vm", s.isNamedByVM(e), "silent_ms", s.now-e.lastResultAt, "lease_ends_in_ms", e.leasesEndBy-s.now, "longest_lease_ends_in_ms", e.lastResultAt+s.longestLease()-s.now)
+}
+
+// isNamedByVM reports whether the platform's last list of VMs names the executor on one that is up.
+func (s *Scheduler) isNamedByVM(e *executor) bool {
+	for _, vm := range s.vms {
+		if vm.Up && vm.Executor == e.info.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // retryCommand sends the stop of a moving task whose move the journal holds, once its step permits it:
 // other tasks may have been lost since the move was decided. It also sends the stop of a copy whose job
 // has ended, and of a task whose job ended under a previous owner, and repeats stops and starts that had no result or could not be sent
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -13,6 +13,11 @@
 	return fulmarclock.Millis(float64(s.params.MaxLease) * leaseFraction)
 }
 
+// longestLease returns for how long a lease of maximum length lasts on the slowest clock.
+func (s *Scheduler) longestLease() fulmarclock.Millis {
+	return fulmarclock.Millis(float64(s.params.MaxLease) / minClockRate)
+}
+
 // scheduleRenewal schedules the next renewal at a time, or at once if the time is zero, unless an
 // earlier one is already scheduled.
 func (s *Scheduler) scheduleRenewal(e *executor, at fulmarclock.Millis) {
@@ -167,7 +172,7 @@
 	}
 	if e.fence.accepted && !tokenWasAccepted {
 		s.noteEarlierLeases(e)
-		s.log.Log("executor accepted the fencing token", "executor", e.info.ID, "running", len(report.Running), "ended", len(report.Finished), "placed", len(e.tasks))
+		s.log.Log("executor accepted the fencing token", "executor", e.info.ID, "running", len(report.Running), "ended", len(report.Finished), "placed", len(e.tasks), "clock", e.clock, "lease_ends_in_ms", e.leasesEndBy-now)
 	}
 	s.dropLapse(e.info.VM)
 	s.completePreviousMaintenance(e, sentAt)
