--- a/internal/fulmarsched/fakeexecutor_test.go
+++ b/internal/fulmarsched/fakeexecutor_test.go
@@ -28,10 +28,12 @@
 	sim  *simulation
 	info fulmarjob.Executor
 	// entry is what the store lists of the executor.
-	entry         fulmarjob.Executor
-	alive         bool
-	unresponsive  bool
-	startedAt     fulmarclock.Millis
+	entry        fulmarjob.Executor
+	alive        bool
+	unresponsive bool
+	startedAt    fulmarclock.Millis
+	// clockOrigin is what the clock of the present incarnation showed at its start.
+	clockOrigin   fulmarclock.Millis
 	token         int64
 	lease         fulmarclock.Millis
 	running       map[fulmarjob.TaskID]*fakeRun
@@ -55,7 +57,7 @@
 	stopping bool
 }
 
-func (e *fakeExecutor) clock() fulmarclock.Millis { return e.sim.now - e.startedAt }
+func (e *fakeExecutor) clock() fulmarclock.Millis { return e.clockOrigin + e.sim.now - e.startedAt }
 
 func (e *fakeExecutor) used() fulmarjob.Resources {
 	sum := fulmarjob.Resources{}
--- a/internal/fulmarsched/openfault_test.go
+++ b/internal/fulmarsched/openfault_test.go
@@ -64,3 +64,67 @@
 		})
 	}
 }
+
+// A lease that is longer than those of the present owner must have expired wherever the executor's clock began.
+func TestLeaseOnClockThatBeganAnywhereIsWaitedFor(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		forget func(sim *simulation, e *fakeExecutor)
+	}{
+		{"new owner", func(sim *simulation, _ *fakeExecutor) { sim.newOwner() }},
+		{"entry missing for a moment", func(sim *simulation, e *fakeExecutor) {
+			sim.scheduler.RemoveExecutor(sim.now, e.info.ID)
+			sim.runUntil(sim.now + 100)
+			e.list()
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			sim := newReadySimulation(t, 2)
+			sim.runsTake(500)
+			sim.submit(jobID(1), step(1))
+			sim.waitFor(sim.now+3000, "the task runs", func() bool { return sim.runningCount() == 1 })
+			e := sim.executorOfRun(1)
+			e.clockOrigin = simulatedUptime / 2
+			restartBeforeRenewal(sim, e)
+			sim.waitFor(sim.now+20000, "the job is completed", sim.allCompleted)
+			sim.runUntil(sim.now + 300)
+			row.forget(sim, e)
+			sim.runBehavior = func(_ fulmarjob.TaskID, _ int64, on *fakeExecutor) (fulmarclock.Millis, bool) {
+				if on == e {
+					return 20000, false
+				}
+				return 1000, false
+			}
+			sim.submit(jobID(2), step(8))
+			sim.waitFor(sim.now+3000, "the tasks run", func() bool { return sim.runningCount() == 8 })
+			sim.runUntil(sim.now + 300)
+			e.unresponsive = true
+			sim.runUntil(sim.now + 15000)
+		})
+	}
+}
+
+// A task must not run elsewhere beside its run on an incarnation that was cut off, from the store too, since it started.
+func TestRunOnExecutorCutOffAfterRestartIsNotRepeatedElsewhere(t *testing.T) {
+	const downtime, cut = 600 * fulmarclock.Millis(1), 9 * fulmarclock.Second
+	for _, entryLeft := range []fulmarclock.Millis{3000, silenceTimeout} {
+		t.Run(fmt.Sprintf("entry left for %d ms", entryLeft), func(t *testing.T) {
+			sim := newReadySimulation(t, 2)
+			sim.runsTake(20000)
+			lost := sim.loseAttempt(jobID(1), step(1))
+			e := lost.target
+			e.crash()
+			sim.runUntil(sim.now + downtime)
+			e.restart()
+			e.unresponsive = true
+			quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+			sim.runUntil(sim.now + entryLeft)
+			sim.scheduler.RemoveExecutor(sim.now, e.info.ID)
+			sim.runUntil(sim.now + cut - entryLeft)
+			e.unresponsive = false
+			e.list()
+			sim.runUntil(sim.now + 20000)
+			sim.checkRunsOnce()
+		})
+	}
+}
