fulmarsched: wait no longer than for a usual lease on an executor that has ended

Now that the list of VMs shows that the executor has ended, only the usual lease is waited for, as for any other crash: what becomes known of the crash by then still decides where its tasks go.

--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -43,6 +43,8 @@
 	// anew, so a deadline is as far ahead as leases may last.
 	leasesEndBy      fulmarclock.Millis
 	laterLeasesEndBy fulmarclock.Millis
+	// grantedUntil is the part of leasesEndBy that this owner has granted itself.
+	grantedUntil fulmarclock.Millis
 	// lastDeadline is the latest deadline sent to this incarnation, on its clock.
 	lastDeadline fulmarclock.Millis
 	fence        fence
@@ -194,7 +196,8 @@
 	e.lastDeadline = max(e.lastDeadline, deadline)
 	end := e.clockAt + fulmarclock.Millis(float64(deadline-e.clock)/minClockRate)
 	e.laterLeasesEndBy = maxLeaseEnd(now, maxLease)
-	e.leasesEndBy = max(e.leasesEndBy, min(end, e.laterLeasesEndBy))
+	e.grantedUntil = max(e.grantedUntil, min(end, e.laterLeasesEndBy))
+	e.leasesEndBy = max(e.leasesEndBy, e.grantedUntil)
 }
 
 // maxLeaseEnd returns a time by which a lease of maximum length, granted after a command sent at
--- a/internal/fulmarsched/leasebound.go
+++ b/internal/fulmarsched/leasebound.go
@@ -18,8 +18,15 @@
 	return max(end, e.laterLeasesEndBy)
 }
 
-// knownLeaseEnd returns a time by which the leases at the known incarnation of an executor have expired.
-func (s *Scheduler) knownLeaseEnd(e *executor) fulmarclock.Millis { return e.leasesEndBy }
+// knownLeaseEnd returns a time by which the leases at the known incarnation of an executor have expired. One that has
+// ended is given the time of a usual lease: what an owner knows of the crash by then decides where its tasks go.
+func (s *Scheduler) knownLeaseEnd(e *executor) fulmarclock.Millis {
+	if !e.hasEnded() {
+		return e.leasesEndBy
+	}
+	usual := fulmarclock.Millis(float64(s.leaseDuration()) / minClockRate)
+	return min(e.leasesEndBy, max(e.grantedUntil, e.lastResultAt+usual))
+}
 
 // hasEnded reports whether the platform's list of VMs shows that the incarnation that responded last has ended.
 func (e *executor) hasEnded() bool { return e.endedBefore > e.lastResultAt }
--- a/internal/fulmarsched/lostexecutor_test.go
+++ b/internal/fulmarsched/lostexecutor_test.go
@@ -137,3 +137,24 @@
 		})
 	}
 }
+
+// A task that lasts must run again in time if its executor leaves while the owner changes.
+func TestLastingTaskOfPreviousOwnerRunsAgainAfterItsExecutorLeft(t *testing.T) {
+	for _, leavesBefore := range []fulmarclock.Millis{0, 500, 2000} {
+		t.Run(fmt.Sprintf("%d ms before", leavesBefore), func(t *testing.T) {
+			sim := newReadySimulation(t, 2)
+			sim.runBehavior = runsForever
+			sim.submit(jobID(1), longRunningStep(1, 1))
+			sim.waitFor(sim.now+3000, "the task runs", func() bool { return sim.runningCount() == 1 })
+			sim.runUntil(sim.now + 3000)
+			e := sim.executorOfRun(1)
+			e.crash()
+			left := sim.now
+			sim.runUntil(left + leavesBefore)
+			sim.newOwner()
+			sim.listVMs()
+			sim.at(left+silenceTimeout, func() { sim.scheduler.RemoveExecutor(sim.now, e.info.ID) })
+			sim.waitFor(left+lastingTaskTimeout, "the task runs again", func() bool { return sim.runningCount() == 1 })
+		})
+	}
+}
