fulmarsched: count leases of earlier commands in full, wherever the executor's clock began

A command that was meant for an executor's former incarnation and is executed by the next one may grant a lease of maximum length (10 s): its deadline is far ahead on the new clock. An owner that meets the executor after that counted 5 s, and placed the tasks there elsewhere while they ran on behind a cut.

Cause: noteEarlierLeases took the executor's clock for the time since its start, so as to tell an incarnation that is too old for such a command.

The bound is now a lease of maximum length from the moment at which the executor accepts the owner's token: no command with a lower token can extend it afterwards. It assumes nothing about clocks or ages.

--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -190,11 +190,9 @@
 }
 
 // noteEarlierLeases extends the lease bound of an executor that has just accepted a token of this owner by what earlier
-// commands may have granted: a previous owner's, at most a lease of the usual duration, and those for earlier
-// incarnations, whose deadlines are far ahead on this one's clock.
+// commands may have granted: the deadlines of those for earlier incarnations may be far ahead on this one's clock.
 func (s *Scheduler) noteEarlierLeases(e *executor) {
-	longest := min(e.clock, lateExecutionBound) + s.params.MaxLease
-	e.extendLeaseBound(s.now, max(e.clock+s.leaseDuration(), longest), s.params.MaxLease)
+	e.leasesEndBy = max(e.leasesEndBy, s.now+s.longestLease())
 }
 
 // requestReports asks executors for reports that show whether an open start has begun a run of a task that waits. It
--- a/internal/fulmarsched/unknownlease_test.go
+++ b/internal/fulmarsched/unknownlease_test.go
@@ -44,6 +44,10 @@
 		}{
 			{"no late order", func(sim *simulation, e *fakeExecutor) { sim.restartIn(e, 30) }},
 			{"late renewal", restartBeforeRenewal},
+			{"late renewal, clock that begins anywhere", func(sim *simulation, e *fakeExecutor) {
+				e.clockOrigin = simulatedUptime / 2
+				restartBeforeRenewal(sim, e)
+			}},
 		} {
 			t.Run(row.name+"/"+r.name, func(t *testing.T) {
 				sim := newReadySimulation(t, 2)
