fulmarsched: keep the placement of a run whose executor is up again behind a cut

Once a list had shown that an executor was down, all its placements ended with the usual lease, also those of starts that its next incarnation may have executed, although a later list named the executor as up. The run was then stopped as an unexpected one after the cut, and the task waited for it. Now the placement stays for as long as the executor is cut off and the run may be present.

TestRunOnExecutorCutOffAfterRestartGoesOnAfterTheCut fails before (the job isn't completed 4 s after the cut, as its only run was stopped) and passes now.

--- a/internal/fulmarsched/leasebound.go
+++ b/internal/fulmarsched/leasebound.go
@@ -3,10 +3,10 @@
 import "github.com/fulmardrum/fulmardrum/internal/fulmarclock"
 
 // leaseEnd returns a time by which the lease of a task's run on an executor has expired. A run that no report has shown,
-// or a late attempt to start it, may be at a later incarnation.
+// or a late attempt to start it, may be at a later incarnation, unless none is up.
 func (s *Scheduler) leaseEnd(e *executor, t *task) fulmarclock.Millis {
 	end := s.knownLeaseEnd(e)
-	if e.hasEnded() && t.startSentAt < e.endedBefore {
+	if e.hasEnded() && t.startSentAt < e.endedBefore && !s.isCutOff(e.info.ID) {
 		return end
 	}
 	if !t.inherited {
--- a/internal/fulmarsched/lostexecutor_test.go
+++ b/internal/fulmarsched/lostexecutor_test.go
@@ -158,3 +158,22 @@
 		})
 	}
 }
+
+// A run on an incarnation that was cut off since its start must go on there once the cut ends.
+func TestRunOnExecutorCutOffAfterRestartGoesOnAfterTheCut(t *testing.T) {
+	sim := newReadySimulation(t, 2)
+	sim.runsTake(12000)
+	sim.listVMs()
+	lost := sim.loseAttempt(jobID(1), step(1))
+	e := lost.target
+	e.crash()
+	sim.runUntil(sim.now + 3500)
+	e.restart()
+	e.unresponsive = true
+	quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+	sim.runUntil(sim.now + 9000)
+	e.unresponsive = false
+	e.list()
+	sim.waitFor(sim.now+4000, "the job is completed", sim.allCompleted)
+	quicktest.Check(t, sim.runs, quicktest.HasLen, 1)
+}
