fulmarsched: the clocks of simulated executors begin anywhere

Change: each restart begins at 80% of the clock before, a new executor at 500 s; a deadline of a former incarnation is far ahead. TestAcknowledgementDeletesNoEndOfLateRun tells the first incarnation by its start time, not by its clock.

--- a/internal/fulmarsched/fakeexecutor_test.go
+++ b/internal/fulmarsched/fakeexecutor_test.go
@@ -23,6 +23,10 @@
 // fakeStopDuration is how long a fake executor takes to stop a run.
 const fakeStopDuration = 300 * fulmarclock.Millis(1)
 
+// restartClockFraction is what the clock of an incarnation shows at its start, in percent of its predecessor's clock. A
+// deadline on the clock of an incarnation is far ahead on that of the next one.
+const restartClockFraction = 80
+
 // fakeExecutor behaves as the scheduler expects of an executor.
 type fakeExecutor struct {
 	sim  *simulation
@@ -231,6 +235,7 @@
 
 // restartUnlisted starts a new incarnation under the same ID, which the store lists after a delay.
 func (e *fakeExecutor) restartUnlisted(delay fulmarclock.Millis) {
+	e.clockOrigin = e.clock() * restartClockFraction / fullPercent
 	e.alive, e.startedAt = true, e.sim.now
 	e.info.Incarnation = int64(e.sim.now) + 1
 	if delay == 0 {
--- a/internal/fulmarsched/openfault_test.go
+++ b/internal/fulmarsched/openfault_test.go
@@ -22,8 +22,9 @@
 	for _, arrivesAfter := range []fulmarclock.Millis{300, 600} {
 		t.Run(fmt.Sprintf("%d ms after the restart", arrivesAfter), func(t *testing.T) {
 			sim := newReadySimulation(t, 1)
+			first := sim.executors[0].info.Incarnation
 			sim.runBehavior = func(id fulmarjob.TaskID, _ int64, e *fakeExecutor) (fulmarclock.Millis, bool) {
-				if id.Job == jobID(1) && e.clock() > 10000 {
+				if id.Job == jobID(1) && e.info.Incarnation == first {
 					return 5000, false
 				}
 				return 100, false
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -12,8 +12,7 @@
 // simulationStep is the time resolution of a simulation.
 const simulationStep = 10 * fulmarclock.Millis(1)
 
-// simulatedUptime is how long the first executors of a simulation have been up. A deadline on the clock of one is far
-// ahead on that of its next incarnation.
+// simulatedUptime is how long the first executors of a simulation have been up.
 const simulatedUptime = 1000 * fulmarclock.Second
 
 var testParameters = Parameters{
@@ -168,7 +167,7 @@
 
 func (s *simulation) addExecutor(id, vm string) *fakeExecutor {
 	e := &fakeExecutor{
-		sim: s, alive: true, startedAt: s.now,
+		sim: s, alive: true, startedAt: s.now, clockOrigin: simulatedUptime / 2,
 		info: fulmarjob.Executor{
 			ID: id, Address: id, Service: testService, Incarnation: int64(s.now), VM: vm,
 			Capacity: fulmarjob.Resources{MilliCPU: 4000, MemoryMB: 4000},
