--- a/internal/fulmarsched/fakeexecutor_test.go
+++ b/internal/fulmarsched/fakeexecutor_test.go
@@ -35,9 +35,13 @@
 	entry        fulmarjob.Executor
 	alive        bool
 	unresponsive bool
-	startedAt    fulmarclock.Millis
+	// unlisted means that the store has no entry of the executor.
+	unlisted  bool
+	startedAt fulmarclock.Millis
 	// clockOrigin is what the clock of the present incarnation showed at its start.
-	clockOrigin   fulmarclock.Millis
+	clockOrigin fulmarclock.Millis
+	// hasSlowClock means that the clock runs at minClockRate.
+	hasSlowClock  bool
 	token         int64
 	lease         fulmarclock.Millis
 	running       map[fulmarjob.TaskID]*fakeRun
@@ -50,6 +54,8 @@
 	expiredThrough int64
 	// capacities are the capacities that the executor had, the present one last.
 	capacities []capacityChange
+	// held are the calls of the downtime, which the next incarnation executes.
+	held []func()
 }
 
 type fakeRun struct {
@@ -61,7 +67,13 @@
 	stopping bool
 }
 
-func (e *fakeExecutor) clock() fulmarclock.Millis { return e.clockOrigin + e.sim.now - e.startedAt }
+func (e *fakeExecutor) clock() fulmarclock.Millis {
+	uptime := e.sim.now - e.startedAt
+	if e.hasSlowClock {
+		uptime = fulmarclock.Millis(float64(uptime) * minClockRate)
+	}
+	return e.clockOrigin + uptime
+}
 
 func (e *fakeExecutor) used() fulmarjob.Resources {
 	sum := fulmarjob.Resources{}
@@ -238,6 +250,10 @@
 	e.clockOrigin = e.clock() * restartClockFraction / fullPercent
 	e.alive, e.startedAt = true, e.sim.now
 	e.info.Incarnation = int64(e.sim.now) + 1
+	for _, call := range e.held {
+		call()
+	}
+	e.held = nil
 	if delay == 0 {
 		e.list()
 		return
@@ -247,7 +263,7 @@
 
 // list stores the executor's entry, of which the scheduler learns at once.
 func (e *fakeExecutor) list() {
-	e.entry = e.info
+	e.entry, e.unlisted = e.info, false
 	if e.sim.scheduler != nil {
 		e.sim.scheduler.UpdateExecutor(e.sim.now, e.entry)
 	}
--- a/internal/fulmarsched/simulatedcommand_test.go
+++ b/internal/fulmarsched/simulatedcommand_test.go
@@ -97,6 +97,10 @@
 		respond(s.now+simulationStep, func() { s.scheduler.HandleStartResult(s.now, c, 1, fulmarjob.ResultUnreachable) })
 		return
 	}
+	if !e.alive && s.holdsCalls {
+		s.holdStart(e, c, respond)
+		return
+	}
 	if !e.alive || e.unresponsive {
 		respond(s.now+800, func() {
 			s.scheduler.HandleStartResult(s.now, c, 1, fulmarjob.ResultUnknown)
@@ -131,6 +135,26 @@
 	respond(s.now+simulationStep, func() { s.scheduler.HandleStartResult(s.now, c, 1, result) })
 }
 
+// holdStart has the next incarnation of an executor execute a start. The result arrives if that is in time.
+func (s *simulation) holdStart(e *fakeExecutor, c StartCommand, respond func(fulmarclock.Millis, func())) {
+	result := fulmarjob.ResultUnknown
+	var answeredAt fulmarclock.Millis
+	e.held = append(e.held, func() { result, answeredAt = e.start(c.Start), s.now })
+	deadline := s.now + 800
+	var poll func()
+	poll = func() {
+		switch {
+		case answeredAt > 0 && !e.unresponsive:
+			s.scheduler.HandleStartResult(s.now, c, 1, result)
+		case s.now >= deadline:
+			s.scheduler.HandleStartResult(s.now, c, 1, fulmarjob.ResultUnknown)
+		default:
+			respond(s.now+simulationStep, poll)
+		}
+	}
+	respond(s.now+simulationStep, poll)
+}
+
 // executeLate executes a command whose result is lost after commandDelay.
 func (s *simulation) executeLate(n int, e *fakeExecutor, do func()) {
 	incarnation := e.info.Incarnation
@@ -146,6 +170,9 @@
 	if lost {
 		s.executeLate(n, e, func() { e.renewLease(c) })
 	}
+	if !e.alive && s.holdsCalls {
+		e.held = append(e.held, func() { e.renewLease(c) })
+	}
 	if !e.alive || e.unresponsive || lost {
 		respond(s.now+c.Wait+800, func() { s.scheduler.HandleRenewalFailure(s.now, c, fulmarjob.ResultUnknown) })
 		return
--- a/internal/fulmarsched/simulation_test.go
+++ b/internal/fulmarsched/simulation_test.go
@@ -115,6 +115,8 @@
 	maxListedFinished int
 	// refusesConnections makes the VM of a crashed executor refuse connections at once.
 	refusesConnections bool
+	// holdsCalls makes the next incarnation of an executor that is down execute the calls that it is sent.
+	holdsCalls bool
 	// longPolls makes executors delay their reports as requested.
 	longPolls bool
 	// refusesOtherIncarnation makes an executor refuse starts that were meant for an earlier
@@ -205,7 +207,7 @@
 	s.scheduler.SetConfiguration(s.now, s.configuration)
 	s.quotas.noteOwner()
 	for _, e := range s.executors {
-		if e.alive {
+		if e.alive && !e.unlisted {
 			e.refreshEntry()
 			s.scheduler.UpdateExecutor(s.now, e.entry)
 		}
