fulmarsched: a start outruns the renewals that were sent before it

Cause: a renewal of a lease without a response may be executed seconds later, by a later incarnation, on whose clock its deadline is far ahead: a lease of 10 s from then on. The bound for later incarnations (laterLeasesEndBy, and the one of replaceIncarnation) counts 2.5 s for the way. A run that a start has begun there, and that is cut off, outlives the wait: run 2 starts elsewhere at 12.9 s, beside run 1 (TWICE). So on and on. Change: a start has a token above those of all renewals with a deadline before it, as above open acknowledgements. Whichever incarnation executes the start refuses these renewals.

--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -3,7 +3,8 @@
 // fence holds the fencing tokens of the commands to an executor. Commands name only the executor's ID,
 // and a command without a response may be executed late, by an incarnation that has started since under
 // the same ID. A start carries a token above those of all such commands that must not follow it there:
-// whichever incarnation executes the start then refuses them.
+// whichever incarnation executes the start then refuses them: acknowledgements, which would delete ends, and renewals
+// of leases, whose deadlines may be far ahead on its clock.
 type fence struct {
 	// token is the fencing token of the next command.
 	token int64
@@ -66,8 +67,11 @@
 func (f *fence) isOvertaken(token int64) bool { return token < f.token }
 
 // noteSent records a renewal that is sent now. An acknowledgement that is still without a response may
-// be executed after it.
+// be executed after it. An attempt of one with a deadline may be executed late even if another one had a response.
 func (f *fence) noteSent(c RenewCommand) {
+	if c.Deadline > 0 {
+		f.floor = max(f.floor, c.Token)
+	}
 	if c.Acknowledged == 0 {
 		return
 	}
--- a/internal/fulmarsched/openfault_test.go
+++ b/internal/fulmarsched/openfault_test.go
@@ -52,3 +52,25 @@
 		})
 	}
 }
+
+// A renewal that is sent after a start must not give the run a longer lease than is waited for, executed late by a later
+// incarnation.
+func TestRenewalAfterStartExtendsNoLeaseAtLaterIncarnation(t *testing.T) {
+	for _, lateBy := range []fulmarclock.Millis{4000, 6000, 9000} {
+		t.Run(fmt.Sprintf("%d ms late", lateBy), func(t *testing.T) {
+			sim := newReadySimulation(t, 2)
+			sim.runsTake(60000)
+			lost := sim.loseAttempt(jobID(1), step(1))
+			e := lost.target
+			renewal := sim.captureRenewal()
+			e.restartHidden()
+			quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+			sim.scheduler.HandleStartResult(sim.now, lost.command, 1, fulmarjob.ResultDone)
+			sim.runUntil(lost.sentAt + lateBy)
+			result, _ := e.renewLease(renewal)
+			quicktest.Assert(t, result, quicktest.Equals, fulmarjob.ResultDone)
+			sim.runUntil(sim.now + 30000)
+			sim.checkRunsOnce()
+		})
+	}
+}
