fulmarsched: an executor that the list of VMs shows to be up has no successor

Cause: an executor that is silent was retired at once, with its placements and open starts, when another one that started later had reported and all entries known so far named the same VM for both. If the first entry of that one that a new owner sees is of another writer, and names a wrong VM, the runs of an executor behind a cut were started again elsewhere. Change: one that the newest list of VMs names, since it is silent, is asked, and retired once a list no longer names it. Result: TestWrongVMInFirstEntryEndsNoRunsBehindCut failed with run 2 beside run 1, passes.

--- a/internal/fulmarsched/successor.go
+++ b/internal/fulmarsched/successor.go
@@ -7,14 +7,14 @@
 )
 
 // retireOlderIncarnations retires the executors on the VM of e that have started before e, which has
-// sent a report. That does not prove on which VM it is: an older one that may still respond is asked
-// first.
+// sent a report. That does not prove on which VM it is: an older one that may still respond, or that the
+// platform's list of VMs shows to be up, is asked first.
 func (s *Scheduler) retireOlderIncarnations(e *executor) {
 	for _, other := range s.allExecutors() {
 		if other.retired || !e.isSuccessorOf(other) {
 			continue
 		}
-		if other.failedRenewals > 0 || other.info.Address == "" {
+		if (other.failedRenewals > 0 || other.info.Address == "") && !s.isCutOff(other.info.ID) {
 			s.retireCrashed(other)
 			continue
 		}
@@ -26,10 +26,10 @@
 }
 
 // isSuperseded reports whether the failure of a renewal shows that the executor has ended, as one
-// that started later on its VM has reported. An unhealthy executor has not.
+// that started later on its VM has reported. An unhealthy executor has not, nor has one that is cut off.
 func (s *Scheduler) isSuperseded(e *executor, result fulmarjob.CommandResult) bool {
 	isGone := result == fulmarjob.ResultUnknown || result == fulmarjob.ResultOtherIncarnation
-	return isGone && e.supersededAt > 0 && e.renewalSentAt >= e.supersededAt && s.hasSuccessor(e)
+	return isGone && !s.isCutOff(e.info.ID) && e.supersededAt > 0 && e.renewalSentAt >= e.supersededAt && s.hasSuccessor(e)
 }
 
 // hasSuccessor reports whether the entries still name a successor of the executor that has reported.
--- a/internal/fulmarsched/successor_test.go
+++ b/internal/fulmarsched/successor_test.go
@@ -80,3 +80,43 @@
 	sim.waitFor(sim.now+20000, "the job is completed", sim.allCompleted)
 	quicktest.Assert(t, len(sim.runs), quicktest.Equals, 4)
 }
+
+// An entry that names a wrong VM must not end the runs of an executor that is cut off and that the list of VMs shows to be up.
+func TestWrongVMInFirstEntryEndsNoRunsBehindCut(t *testing.T) {
+	sim := newReadySimulation(t, 3)
+	sim.listVMs()
+	sim.runsTake(20000)
+	e, other := sim.executors[0], sim.executors[1]
+	sim.leaveRoomOn(e)
+	sim.submit(jobID(1), step(1))
+	sim.waitFor(sim.now+3000, "the task runs", func() bool { return sim.runningCount() == 1 })
+	sim.runUntil(sim.now + 500)
+	e.unresponsive = true
+	other.crash()
+	other.restart()
+	sim.makeRoomBeside(e)
+	odd := other.entry
+	odd.VM, other.unlisted = e.info.VM, true
+	sim.newOwner()
+	sim.scheduler.UpdateExecutor(sim.now, odd)
+	sim.runUntil(sim.now + 1500)
+	other.list()
+	sim.runUntil(sim.now + 20000)
+	sim.checkRunsOnce()
+}
+
+// Guards against a wait for the lease of an executor that has crashed since the last list of VMs.
+func TestCrashedExecutorIsRetiredOnceNoListOfVMsNamesIt(t *testing.T) {
+	sim := newReadySimulation(t, 2)
+	sim.runsTake(20000)
+	sim.submit(jobID(1), step(1))
+	sim.waitFor(sim.now+3000, "the task runs", func() bool { return sim.runningCount() == 1 })
+	sim.runUntil(sim.now + 500)
+	e := sim.executorOfRun(1)
+	sim.listVMs()
+	sim.runUntil(sim.now + 100)
+	e.crash()
+	sim.runUntil(sim.now + 300)
+	sim.addExecutor("x-later", e.info.VM)
+	sim.waitFor(sim.now+3000, "the task runs again", func() bool { return sim.runningCount() == 1 })
+}
