fulmarsched: a VM that is up without an executor excludes none

Cause: if the platform lists a VM as up but names no executor on it, twice in a row, the executor known to be there counted as ended. Nothing in the list says so. Change: only a VM that is not up, or that names another executor, excludes the one that was there. Result: the row "its VM names none, twice" of TestVMListExcludesOnlyExecutorsThatHaveEnded failed, passes.

--- a/internal/fulmarsched/vmlist.go
+++ b/internal/fulmarsched/vmlist.go
@@ -32,13 +32,14 @@
 }
 
 // excludes reports whether no incarnation under an executor's ID was up when the list was requested, by the VM that
-// the executor was on, or by two lists in a row if that is not known or listed. A list without executors tells nothing.
+// the executor was on, or by two lists in a row if that is not known or listed. A list without executors tells nothing,
+// nor does a VM that is up without one.
 func (l *vmListing) excludes(executor, vmName string) bool {
 	if len(l.named) == 0 || l.named[executor] {
 		return false
 	}
-	if vm, listed := l.vms[vmName]; listed && (!vm.Up || vm.Executor != "") {
-		return true
+	if vm, listed := l.vms[vmName]; listed {
+		return !vm.Up || vm.Executor != ""
 	}
 	return len(l.namedBefore) > 0 && !l.namedBefore[executor]
 }
--- a/internal/fulmarsched/vmlist_test.go
+++ b/internal/fulmarsched/vmlist_test.go
@@ -25,6 +25,7 @@
 		{"its VM names it", nil, []fulmarjob.VM{up("vm-0", "x-0"), other}, "vm-0", false},
 		{"another VM than that of an odd entry names it", nil, []fulmarjob.VM{down, up("vm-1", "x-0")}, "vm-0", false},
 		{"its VM names none yet", nil, []fulmarjob.VM{up("vm-0", ""), other}, "vm-0", false},
+		{"its VM names none, twice", []fulmarjob.VM{up("vm-0", ""), other}, []fulmarjob.VM{up("vm-0", ""), other}, "vm-0", false},
 		{"its VM is missing once", []fulmarjob.VM{up("vm-0", "x-0"), other}, []fulmarjob.VM{other}, "vm-0", false},
 		{"its VM is missing twice", []fulmarjob.VM{other}, []fulmarjob.VM{other}, "vm-0", true},
 		{"its VM is not known", []fulmarjob.VM{up("vm-0", "x-0"), other}, []fulmarjob.VM{down, other}, "", false},
