fulmarsched: a lasting task waits for the lease of an inherited start behind a cut

Cause: a start of a previous owner was dropped 13 s after the restore if its task lasts, although it may have begun a run until then, whose lease lasts up to 10.2 s longer. On an executor that is cut off, the run went on beside the next one. Change: such a start stays as long as one of any other task. What it costs is bounded as before: a task that lasts waits 4 s for an executor that is within reach, and not at all for one that has ended (hasKeptWaiting). Only behind a cut, with the executor in the platform's list of VMs, it may wait up to 23 s after a change of the owner. Result: TestLastingRunOnIncarnationOutOfReachIsNotRepeatedElsewhere failed in 2 of 6 cases (6 and 13 s late, with a new owner), passes.

--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// As before, for a task that lasts and an executor that the list of VMs shows to be up.
+func TestLastingRunOnIncarnationOutOfReachIsNotRepeatedElsewhere(t *testing.T) {
+	for _, lateBy := range []fulmarclock.Millis{1000, 6000, lateExecutionBound - 2*simulationStep} {
+		for _, ownerChanges := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%d ms late/%d changes of the owner", lateBy, ownerChanges), func(t *testing.T) {
+				sim := newReadySimulation(t, 2)
+				sim.listVMs()
+				sim.runBehavior = runsForever
+				lost := sim.loseAttempt(jobID(1), longRunningStep(1, 1))
+				lost.target.restartHidden()
+				sim.changeOwner(ownerChanges)
+				sim.runUntil(lost.sentAt + lateBy)
+				quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+				sim.runUntil(sim.now + 30000)
+			})
+		}
+	}
+}
+
 // A start that is executed just before it can't be any more must not run beside one sent just afterwards.
 func TestTaskIsNotPlacedElsewhereBeforeLateRunCanBeReported(t *testing.T) {
 	sim := newReadySimulation(t, 2)
--- a/internal/fulmarsched/openstart.go
+++ b/internal/fulmarsched/openstart.go
@@ -171,14 +171,10 @@
 	}
 }
 
-// noteInherited records a start of a previous owner that may be open. When it was sent is unknown. A task that lasts
-// must run again soon, so it does not wait for the lease of a run that such a start may begin.
-func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed, isLasting bool) {
+// noteInherited records a start of a previous owner that may be open. When it was sent is unknown.
+func (o *openStarts) noteInherited(now fulmarclock.Millis, key startKey, gang, removed bool) {
 	start := o.add(key, &openStart{since: now, unsettled: 1, inherited: true, gang: gang, begun: true, removed: removed, removedAt: now})
 	o.extend(start, now)
-	if isLasting {
-		start.presentUntil = start.until
-	}
 }
 
 func (o *openStarts) add(key startKey, start *openStart) *openStart {
@@ -264,7 +260,7 @@
 }
 
 // hasKeptWaiting reports whether a task that lasts has waited for a start for as long as it may: not at all for an
-// executor that has ended, and until the start is no longer open for one that may run the task behind a cut.
+// executor that has ended, and until no run of it can be present any more for one that may run the task behind a cut.
 func (o *openStarts) hasKeptWaiting(key startKey) bool {
 	start := o.starts[key]
 	if !start.removed || o.reach.isCutOff(key.executor) {
--- a/internal/fulmarsched/openstartrecord.go
+++ b/internal/fulmarsched/openstartrecord.go
@@ -61,15 +61,14 @@
 	return encodeRecord(openStartKeyPrefix+executor, listed)
 }
 
-// restore loads the record of an executor. isLasting reports whether a task is one that lasts.
-func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage, isLasting func(fulmarjob.TaskID) bool) error {
+// restore loads the record of an executor.
+func (o *openStarts) restore(now fulmarclock.Millis, executor string, value json.RawMessage) error {
 	var listed []openStartRecord
 	if err := json.Unmarshal(value, &listed); err != nil {
 		return err
 	}
 	for _, r := range listed {
-		key := r.key(executor)
-		o.noteInherited(now, key, r.Gang, true, isLasting(key.run.task))
+		o.noteInherited(now, r.key(executor), r.Gang, true)
 	}
 	return nil
 }
--- a/internal/fulmarsched/restore.go
+++ b/internal/fulmarsched/restore.go
@@ -43,7 +43,7 @@
 	}
 	for _, r := range records {
 		if id, found := strings.CutPrefix(r.Key, openStartKeyPrefix); found {
-			if err := s.openStarts.restore(s.now, id, r.Value, s.isLasting); err != nil {
+			if err := s.openStarts.restore(s.now, id, r.Value); err != nil {
 				return &fulmarjob.FormatError{What: r.Key, Cause: err}
 			}
 		}
@@ -185,7 +185,7 @@
 	e.addTask(t)
 	t.journaled, t.inherited, t.startAnswered = true, true, record.Settled
 	if !record.Settled {
-		s.openStarts.noteInherited(s.now, t.startKey(), t.step.Gang, false, t.step.LongRunning)
+		s.openStarts.noteInherited(s.now, t.startKey(), t.step.Gang, false)
 	}
 	t.moving, t.movingJournaled = record.Moving, record.Moving
 }
