fulmarsched: an executor stays while its report is applied

Cause: an executor without an entry that reports a new incarnation was deleted when its last placement ended, in the middle of the report. An unexpected run that the rest of the report listed was counted as a stray run of an executor that no longer was known. Nothing removed it, so that its task was never placed again (by that owner). Change: it is deleted at the end of the report, if nothing is there.

--- a/internal/fulmarsched/executor.go
+++ b/internal/fulmarsched/executor.go
@@ -63,6 +63,8 @@
 	reportSentAt fulmarclock.Millis
 	// reportedAt is when that report arrived.
 	reportedAt fulmarclock.Millis
+	// isReporting means that a report of the executor is being applied, which may still show runs.
+	isReporting bool
 	// failedRenewals is the number of failed renewals since the last report.
 	failedRenewals int
 	// finishedSeen is the sequence number of the last finished run that was reported, acknowledged
@@ -304,7 +306,7 @@
 
 // deleteIfUnused deletes an executor that is no longer listed and has no tasks or stray runs.
 func (s *Scheduler) deleteIfUnused(e *executor) {
-	if !e.listed && len(e.tasks) == 0 && len(e.strayRuns) == 0 {
+	if !e.listed && !e.isReporting && len(e.tasks) == 0 && len(e.strayRuns) == 0 {
 		s.clearUnresponsive(e)
 		s.deleteExecutor(e)
 	}
--- a/internal/fulmarsched/renewal.go
+++ b/internal/fulmarsched/renewal.go
@@ -151,7 +151,7 @@
 	if e == nil || e.info.Incarnation != target.Incarnation || e.retired && !e.settlesClaim(sentAt) {
 		return
 	}
-	e.renewalInFlight = false
+	e.renewalInFlight, e.isReporting = false, true
 	isExpected := !e.isOtherIncarnation(report.Incarnation)
 	if isExpected {
 		e.acknowledgementConfirmed = max(e.acknowledgementConfirmed, c.Acknowledged)
@@ -186,6 +186,7 @@
 	s.openStarts.noteReport(e.info.ID, sentAt, false)
 	s.adjustSpeeds(e)
 	s.scheduleNextRenewal(e, tokenWasAccepted, c.Acknowledged < e.requestedAcknowledgement)
+	e.isReporting = false
 	s.deleteIfUnused(e)
 }
 
--- a/internal/fulmarsched/unusedexecutor_test.go
+++ b/internal/fulmarsched/unusedexecutor_test.go
@@ -138,3 +138,22 @@
 	sim.submit(jobID(2), step(1))
 	sim.waitFor(sim.now+30000, "the job is completed", sim.allCompleted)
 }
+
+// A task must not wait for ever for an unexpected run of a report by which its executor, without an entry, was deleted.
+func TestUnexpectedRunOnExecutorWithoutEntryLetsTaskRunAgain(t *testing.T) {
+	sim := newReadySimulation(t, 2)
+	sim.runsTake(20000)
+	lost := sim.repeatAttempt(jobID(1), step(1))
+	e := lost.target
+	sim.runUntil(sim.now + 1000)
+	e.restartHidden()
+	sim.scheduler.RemoveExecutor(sim.now, e.info.ID)
+	sim.runUntil(lost.sentAt + 10000)
+	quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+	sim.runUntil(lost.sentAt + lateExecutionBound + 200)
+	e.unresponsive = false
+	sim.runUntil(sim.now + 3000)
+	e.list()
+	sim.checkRunsOnce()
+	quicktest.Check(t, sim.scheduler.openStarts.strays, quicktest.HasLen, 0)
+}
