--- a/internal/fulmarsched/openfault_test.go
+++ b/internal/fulmarsched/openfault_test.go
@@ -74,3 +74,20 @@
 		})
 	}
 }
+
+// A lasting task must not run beside a late start that its executor executes when it is back under its ID.
+func TestLastingTaskWaitsForStartOfExecutorThatIsDown(t *testing.T) {
+	for _, downtime := range []fulmarclock.Millis{600, 3000, 6000, 9000} {
+		t.Run(fmt.Sprintf("down for %d ms", downtime), func(t *testing.T) {
+			sim := newReadySimulation(t, 2)
+			sim.listVMs()
+			sim.runBehavior = runsForever
+			lost := sim.loseAttempt(jobID(1), longRunningStep(1, 1))
+			lost.target.crash()
+			sim.runUntil(sim.now + downtime)
+			lost.target.restartUnlisted(1000)
+			quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+			sim.runUntil(sim.now + 30000)
+		})
+	}
+}
