--- a/internal/fulmarstandin/fulmarrig/executor.go
+++ b/internal/fulmarstandin/fulmarrig/executor.go
@@ -25,9 +25,10 @@
 	id          string
 	vm          string
 	incarnation int64
-	startTime   fulmarclock.Millis
-	address     string
-	endpoint    *endpoint
+	// clockZero is when the executor's clock showed 0, or would have.
+	clockZero fulmarclock.Millis
+	address   string
+	endpoint  *endpoint
 	// published is whether the store has had an entry of this incarnation; fleet.mu guards it.
 	published bool
 
@@ -77,14 +78,14 @@
 
 func newExecutor(r *Rig, v *vm, id string) *executor {
 	return &executor{
-		rig: r, id: id, vm: v.name, incarnation: r.options.Clock.Unix(), startTime: r.options.Clock.Now(),
+		rig: r, id: id, vm: v.name, incarnation: r.options.Clock.Unix(), clockZero: r.options.Clock.Now() - r.drawFirstClock(),
 		running: map[runKey]*activeRun{}, highestRuns: map[string]int64{}, changed: make(chan struct{}),
 		capacities: []capacityChange{{at: r.options.Clock.Now(), milliCPU: v.pool.MilliCPU}},
 	}
 }
 
-// now returns the executor's clock time, in milliseconds since its start.
-func (e *executor) now() fulmarclock.Millis { return e.rig.options.Clock.Now() - e.startTime }
+// now returns the executor's clock time.
+func (e *executor) now() fulmarclock.Millis { return e.rig.options.Clock.Now() - e.clockZero }
 
 func (e *executor) handler() http.Handler {
 	mux := http.NewServeMux()
@@ -209,10 +210,10 @@
 		return
 	}
 	if e.leaseExpiry > 0 {
-		e.lastLapse = e.startTime + e.leaseExpiry
+		e.lastLapse = e.clockZero + e.leaseExpiry
 	}
 	for key := range e.running {
-		e.endRun(key, fulmarjob.RunLeaseExpired, e.startTime+e.leaseExpiry)
+		e.endRun(key, fulmarjob.RunLeaseExpired, e.clockZero+e.leaseExpiry)
 	}
 }
 
--- a/internal/fulmarstandin/fulmarrig/rig.go
+++ b/internal/fulmarstandin/fulmarrig/rig.go
@@ -14,6 +14,7 @@
 //
 // Executors implement the platform's contract: they check fencing tokens and run numbers,
 // keep leases on their own clocks and report each finished run until it is acknowledged.
+// The clock of an incarnation begins anywhere.
 // They may start again under the ID that they had, or execute a call late.
 // The rig records all runs, so that FindViolations can check the scheduler's guarantees.
 package fulmarrig
@@ -21,6 +22,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -35,7 +37,12 @@
 	fulmaradapter "github.com/fulmardrum/fulmardrum/platform"
 )
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// The clock of an incarnation begins between these times.
+	minFirstClock = 50 * fulmarclock.Second
+	maxFirstClock = 9000 * fulmarclock.Second
+)
 
 // Pool describes a pool of identical VMs.
 type Pool struct {
@@ -52,6 +59,8 @@
 // Options configure a Rig. Durations are in milliseconds.
 type Options struct {
 	Clock fulmarclock.Clock
+	// Seed determines what the rig draws.
+	Seed  uint64
 	Pools []Pool
 	// MoveDuration and MaintenanceDuration are how long a VM is down for a move and for maintenance.
 	MoveDuration        fulmarclock.Millis
@@ -87,6 +96,7 @@
 	fleet   *fleet
 
 	mu      sync.Mutex
+	random  *rand.Rand
 	servers []*http.Server
 	serving sync.WaitGroup
 	runs    []*Run
@@ -97,7 +107,7 @@
 // Start starts the servers of the store, the VM API and the executors of all pools. It
 // returns the error of a server that can't listen.
 func Start(o Options) (*Rig, error) {
-	r := &Rig{options: o}
+	r := &Rig{options: o, random: rand.New(rand.NewPCG(o.Seed, 0))}
 	r.store = newStore(o.Clock)
 	r.fleet = newFleet(r)
 	storeAddress, err := r.serve(r.store.handler(), nil)
@@ -133,6 +143,18 @@
 	return listener.Addr().String(), nil
 }
 
+// drawFirstClock returns the time that the clock of a new incarnation shows.
+func (r *Rig) drawFirstClock() fulmarclock.Millis {
+	return minFirstClock + r.draw(maxFirstClock-minFirstClock)
+}
+
+// draw returns a random duration below limit.
+func (r *Rig) draw(limit fulmarclock.Millis) fulmarclock.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fulmarclock.Millis(r.random.Int64N(int64(limit)))
+}
+
 // Close stops all servers and waits for them.
 func (r *Rig) Close() {
 	r.store.close()
