fulmarrig: a VM whose executor restarts is listed as down

Cause: the simulated VM list named the executor of a VM that is down for a restart, as if it were up.

Change: the list shows a VM as down without an identifier until the next incarnation serves, and moves and maintenance of it are rejected as busy.

--- a/internal/fulmarstandin/fulmarrig/fleet.go
+++ b/internal/fulmarstandin/fulmarrig/fleet.go
@@ -35,6 +35,15 @@
 	restartTimer  fulmarclock.Timer
 }
 
+// listedState returns the state in the VM list: a VM whose executor has yet to start again is down. The caller
+// holds fleet.mu.
+func (v *vm) listedState() string {
+	if v.executor != nil && v.executor.hasCrashed() {
+		return vmDown
+	}
+	return v.state
+}
+
 // fleet simulates the platform's VM API.
 type fleet struct {
 	rig     *Rig
@@ -209,8 +218,8 @@
 	}
 	rows := []row{}
 	for _, v := range f.vms {
-		r := row{Machine: v.name, Pool: v.pool.Service, State: v.state, Zone: "dc-1"}
-		if v.executor != nil {
+		r := row{Machine: v.name, Pool: v.pool.Service, State: v.listedState(), Zone: "dc-1"}
+		if v.executor != nil && r.State == vmUp {
 			r.Executor = v.executor.id
 		}
 		rows = append(rows, r)
@@ -269,7 +278,7 @@
 		writeJSON(w, http.StatusBadRequest, struct{}{})
 	case v.pool.Service == c.Pool:
 		writeJSON(w, http.StatusOK, struct{}{})
-	case v.state != vmUp:
+	case v.listedState() != vmUp:
 		writeConflict(w, "busy")
 	default:
 		f.moves++
@@ -292,7 +301,7 @@
 		writeConflict(w, "wave")
 	case v.maintained[c.Wave]:
 		writeJSON(w, http.StatusOK, struct{}{})
-	case v.state != vmUp:
+	case v.listedState() != vmUp:
 		writeConflict(w, "busy")
 	default:
 		f.maintenances++
--- a/internal/fulmarstandin/fulmarrig/restart_test.go
+++ b/internal/fulmarstandin/fulmarrig/restart_test.go
@@ -33,7 +33,7 @@
 func startOneVM(t *testing.T, clock fulmarclock.Clock, delayCall func() (fulmarclock.Millis, bool)) *Rig {
 	rig, err := Start(Options{
 		Clock: clock, MaxLease: 10 * fulmarclock.Second, DelayCall: delayCall,
-		Pools: []Pool{{Service: "work", VMs: 1, MilliCPU: 8000, MemoryMB: 1024}},
+		Pools: []Pool{{Service: "work", VMs: 1, MilliCPU: 8000, MemoryMB: 1024}, {Service: "other"}},
 	})
 	quicktest.Assert(t, err, quicktest.IsNil)
 	t.Cleanup(rig.Close)
