--- a/internal/fulmarstandin/fulmarrig/fleet.go
+++ b/internal/fulmarstandin/fulmarrig/fleet.go
@@ -33,6 +33,11 @@
 	maintained    map[int64]bool
 	admittedWaves map[int64]bool
 	restartTimer  fulmarclock.Timer
+	// lastHeartbeat is the time of a heartbeat: the last one while the executor sends none. heartbeatTimer expires or
+	// renews the entry in the store.
+	lastHeartbeat  fulmarclock.Millis
+	heartbeatTimer fulmarclock.Timer
+	isCutFromStore bool
 }
 
 // listedState returns the state in the VM list: a VM whose executor has yet to start again is down. The caller
@@ -87,6 +92,9 @@
 		if v.restartTimer != nil {
 			v.restartTimer.Stop()
 		}
+		if v.heartbeatTimer != nil {
+			v.heartbeatTimer.Stop()
+		}
 		if v.executor != nil {
 			v.executor.crash(runLost)
 		}
@@ -120,10 +128,10 @@
 }
 
 // register writes the entry of a VM's executor to the store. It does nothing before the entry is to be
-// published. The caller holds f.mu.
+// published, nor while the executor is cut off from the store. The caller holds f.mu.
 func (f *fleet) register(v *vm) error {
 	e := v.executor
-	if !e.published {
+	if !e.published || v.isCutFromStore {
 		return nil
 	}
 	value, err := json.Marshal(map[string]any{
@@ -135,6 +143,7 @@
 		return err
 	}
 	f.rig.store.put(fulmaradapter.ExecutorPrefix+e.id, value, 0)
+	v.lastHeartbeat = f.rig.options.Clock.Now()
 	return nil
 }
 
--- a/internal/fulmarstandin/fulmarrig/restart.go
+++ b/internal/fulmarstandin/fulmarrig/restart.go
@@ -28,6 +28,7 @@
 		return
 	}
 	ended := v.executor
+	v.lastHeartbeat = v.latestHeartbeat(f.rig.options.Clock.Now())
 	ended.endpoint.disconnect()
 	ended.crash(runCrashed)
 	f.rig.options.Clock.AfterFunc(downtime, func() { f.resumeExecutor(v, ended, publicationDelay) })
--- a/internal/fulmarstandin/fulmarrig/rig.go
+++ b/internal/fulmarstandin/fulmarrig/rig.go
@@ -15,7 +15,7 @@
 // Executors implement the platform's contract: they check fencing tokens and run numbers,
 // keep leases on their own clocks and report each finished run until it is acknowledged.
 // The clock of an incarnation begins anywhere.
-// They may start again under the ID that they had, or execute a call late.
+// They may start again under the ID that they had, execute a call late, or be cut off from the store.
 // The rig records all runs, so that FindViolations can check the scheduler's guarantees.
 package fulmarrig
 
