fulmarrig: a restart whose listener lives on

Cause: the simulated executor closed all connections when it restarted, so that its callers knew at once.

Change: RestartBehindListener holds the calls that arrive during the downtime and has the next incarnation execute them, also those whose caller has left. Calls that the earlier one was executing get no response.

--- a/internal/fulmarstandin/fulmarrig/endpoint.go
+++ b/internal/fulmarstandin/fulmarrig/endpoint.go
@@ -12,13 +12,15 @@
 )
 
 // endpoint is the address of an executor. Its incarnations under one ID serve there one after
-// the other. While none serves, connections are closed without a response.
+// the other. While none serves, connections are closed without a response, or calls wait for the next one.
 type endpoint struct {
 	rig *Rig
 
 	mu          sync.Mutex
 	handler     http.Handler
 	connections map[net.Conn]bool
+	// served is closed when calls that wait need not any more, nil while calls don't wait.
+	served chan struct{}
 }
 
 func newEndpoint(r *Rig) *endpoint { return &endpoint{rig: r, connections: map[net.Conn]bool{}} }
@@ -28,6 +30,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.handler = e.handler()
+	p.releaseLocked()
 }
 
 // disconnect closes all connections, as the end of the process does.
@@ -40,6 +43,27 @@
 	}
 }
 
+// hold makes calls wait for the next incarnation, as with a listener that outlives the process.
+func (p *endpoint) hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handler, p.served = nil, make(chan struct{})
+}
+
+// release ends the wait of calls for an incarnation.
+func (p *endpoint) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.releaseLocked()
+}
+
+func (p *endpoint) releaseLocked() {
+	if p.served != nil {
+		close(p.served)
+		p.served = nil
+	}
+}
+
 // trackConnection is the server's callback for changes of a connection's state.
 func (p *endpoint) trackConnection(c net.Conn, state http.ConnState) {
 	p.mu.Lock()
@@ -63,6 +87,7 @@
 	if delay, late := p.rig.delayCall(); late {
 		p.executeLate(q, delay)
 	}
+	p.awaitIncarnation(q)
 	handler := p.currentHandler()
 	if handler == nil {
 		panic(http.ErrAbortHandler)
@@ -70,6 +95,22 @@
 	handler.ServeHTTP(w, q)
 }
 
+// awaitIncarnation waits while calls are held. A call whose caller has left waits too: the listener has received it.
+func (p *endpoint) awaitIncarnation(q *http.Request) {
+	p.mu.Lock()
+	served := p.served
+	p.mu.Unlock()
+	if served == nil {
+		return
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	q.Body = io.NopCloser(bytes.NewReader(body))
+	<-served
+}
+
 // lateCallKey is the key of the context value that marks a call as executed late.
 type lateCallKey struct{}
 
--- a/internal/fulmarstandin/fulmarrig/executor.go
+++ b/internal/fulmarstandin/fulmarrig/executor.go
@@ -45,6 +45,8 @@
 	// lastLapse is when the lease last expired, on the rig's clock.
 	lastLapse fulmarclock.Millis
 	crashed   bool
+	// endsSilently means that the callers of unfinished calls don't learn of the crash.
+	endsSilently bool
 	// capacities are the capacities so far, in the order of their times.
 	capacities []capacityChange
 	// changed is closed and replaced whenever a run ends.
@@ -257,6 +259,21 @@
 	e.changed = make(chan struct{})
 }
 
+// endSilently keeps the connections of unfinished calls open at a crash.
+func (e *executor) endSilently() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.endsSilently = true
+}
+
+// abandonCall gives a call no response. Its caller doesn't learn of that if silent is set. It doesn't return.
+func abandonCall(q *http.Request, silent bool) {
+	if silent {
+		<-q.Context().Done()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (e *executor) serveStop(w http.ResponseWriter, q *http.Request) {
 	var c command
 	if !readJSON(w, q, &c) {
@@ -352,10 +369,12 @@
 		return
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	if e.crashed {
-		panic(http.ErrAbortHandler)
+		silent := e.endsSilently
+		e.mu.Unlock()
+		abandonCall(q, silent)
 	}
+	defer e.mu.Unlock()
 	rows := [][]any{}
 	for key := range e.running {
 		rows = append(rows, []any{key.task, key.number, "", 100, 0})
--- a/internal/fulmarstandin/fulmarrig/fleet.go
+++ b/internal/fulmarstandin/fulmarrig/fleet.go
@@ -97,6 +97,7 @@
 		}
 		if v.executor != nil {
 			v.executor.crash(runLost)
+			v.executor.endpoint.release()
 		}
 	}
 }
@@ -153,6 +154,7 @@
 		return
 	}
 	v.executor.crash(outcome)
+	v.executor.endpoint.release()
 	f.rig.store.delete(fulmaradapter.ExecutorPrefix + v.executor.id)
 	v.executor = nil
 }
--- a/internal/fulmarstandin/fulmarrig/restart.go
+++ b/internal/fulmarstandin/fulmarrig/restart.go
@@ -7,7 +7,14 @@
 // of the earlier incarnation publicationDelay later. Restart does nothing while the VM has no executor
 // that serves.
 func (r *Rig) Restart(vm string, downtime, publicationDelay fulmarclock.Millis) {
-	r.fleet.restartExecutor(vm, downtime, publicationDelay)
+	r.fleet.restartExecutor(vm, downtime, publicationDelay, false)
+}
+
+// RestartBehindListener is a Restart whose listener lives on. Calls that arrive during the downtime wait and are
+// executed by the next incarnation. Those that the earlier one was executing get no response, and their callers don't
+// learn of its end.
+func (r *Rig) RestartBehindListener(vm string, downtime, publicationDelay fulmarclock.Millis) {
+	r.fleet.restartExecutor(vm, downtime, publicationDelay, true)
 }
 
 // ExecutorID returns the ID of a VM's executor, or an empty string while it has none.
@@ -20,7 +27,7 @@
 	return ""
 }
 
-func (f *fleet) restartExecutor(name string, downtime, publicationDelay fulmarclock.Millis) {
+func (f *fleet) restartExecutor(name string, downtime, publicationDelay fulmarclock.Millis, keepsListener bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.find(name)
@@ -29,7 +36,12 @@
 	}
 	ended := v.executor
 	v.lastHeartbeat = v.latestHeartbeat(f.rig.options.Clock.Now())
-	ended.endpoint.disconnect()
+	if keepsListener {
+		ended.endpoint.hold()
+		ended.endSilently()
+	} else {
+		ended.endpoint.disconnect()
+	}
 	ended.crash(runCrashed)
 	f.rig.options.Clock.AfterFunc(downtime, func() { f.resumeExecutor(v, ended, publicationDelay) })
 }
--- a/internal/fulmarstandin/fulmarrig/restart_test.go
+++ b/internal/fulmarstandin/fulmarrig/restart_test.go
@@ -101,6 +101,16 @@
 	return e != nil && !e.hasCrashed()
 }
 
+// highestToken returns the highest fencing token that the first VM's executor has seen.
+func (r *Rig) highestToken() int64 {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	e := r.fleet.vms[0].executor
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fencingToken
+}
+
 // TestRestartKeepsNothing guards against a restart under the same ID that is kinder than the platform's.
 func TestRestartKeepsNothing(t *testing.T) {
 	const downtime, publicationDelay = 100 * fulmarclock.Millis(1), 3 * fulmarclock.Second
@@ -208,3 +218,55 @@
 	quicktest.Assert(t, hold(t, rig, renewal{FencingToken: 9}).Finished, quicktest.HasLen, 2)
 	quicktest.Assert(t, FindViolations(rig.Runs()), quicktest.HasLen, 1)
 }
+
+// TestCallsWaitBehindListener guards against calls of the downtime that the next incarnation doesn't execute.
+func TestCallsWaitBehindListener(t *testing.T) {
+	const downtime = 300 * fulmarclock.Millis(1)
+	clock := fulmarclock.NewManual(1)
+	rig := startOneVM(t, clock, nil)
+	deadline := 5*fulmarclock.Second + maxFirstClock
+	polled := make(chan *http.Response, 1)
+	go func() {
+		polled <- call(t, rig, "/fulmardrum/hold", renewal{FencingToken: 9, MaxWait: fulmarclock.Second})
+	}()
+	awaitTrue(func() bool { return rig.highestToken() == 9 })
+	rig.RestartBehindListener("work-0", downtime, 0)
+	// The caller of this start leaves before it is executed.
+	quicktest.Assert(t, start(t, rig, command{Task: "left", RunNumber: 1, Deadline: deadline, FencingToken: 9}), quicktest.IsNil)
+	quicktest.Assert(t, <-polled, quicktest.IsNil)
+	quicktest.Assert(t, rig.Runs(), quicktest.HasLen, 0)
+	answered := make(chan *http.Response, 1)
+	go func() {
+		answered <- start(t, rig, command{Task: "answered", RunNumber: 1, Deadline: deadline, FencingToken: 9})
+	}()
+	time.Sleep(answerWait / 2)
+	clock.Advance(downtime)
+	response := <-answered
+	quicktest.Assert(t, response, quicktest.IsNotNil)
+	quicktest.Assert(t, response.StatusCode, quicktest.Equals, http.StatusOK)
+	awaitTrue(func() bool { return len(rig.Runs()) == 2 })
+	report := hold(t, rig, renewal{FencingToken: 9})
+	quicktest.Assert(t, report.Running, quicktest.HasLen, 2)
+	for _, r := range rig.Runs() {
+		quicktest.Assert(t, r.Incarnation, quicktest.Equals, report.Born)
+	}
+}
+
+// TestCallsEndWhenRestartingVMIsLost guards against calls that wait for an incarnation that never serves.
+func TestCallsEndWhenRestartingVMIsLost(t *testing.T) {
+	clock := fulmarclock.NewManual(1)
+	rig := startOneVM(t, clock, nil)
+	address := entryOf(t, rig).Address
+	rig.RestartBehindListener("work-0", 100, 0)
+	ended := make(chan error, 1)
+	go func() {
+		response, err := http.Post("http://"+address+"/fulmardrum/hold", "application/json", bytes.NewReader([]byte("{}")))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		ended <- err
+	}()
+	time.Sleep(answerWait)
+	rig.Crash("work-0", fulmarclock.Second)
+	quicktest.Assert(t, <-ended, quicktest.IsNotNil)
+}
