fulmarrig: an end acknowledged after a lapse of runs doesn't count as taken note of

Cause: FindViolations counted a start after a completion that was acknowledged at any later time. The rule TWICE excuses it if the executor's lease lapsed between the end and the acknowledgement.

Change: such an end is excused if the lapse ended a run.

--- a/internal/fulmarstandin/fulmarrig/acknowledgement.go
+++ b/internal/fulmarstandin/fulmarrig/acknowledgement.go
@@ -15,6 +15,8 @@
 	Unread bool
 	// AfterLapse is whether the executor's lease expired between the end and the acknowledgement.
 	AfterLapse bool
+	// AfterLapseOfRuns is whether such an expiry ended a run.
+	AfterLapseOfRuns bool
 }
 
 // FindUnreadAcknowledgements returns a description of each acknowledgement of an end that no report
--- a/internal/fulmarstandin/fulmarrig/executor.go
+++ b/internal/fulmarstandin/fulmarrig/executor.go
@@ -42,9 +42,11 @@
 	lastSequence   int64
 	// reportedSequence is the highest number of an end that a report has contained.
 	reportedSequence int64
-	// lastLapse is when the lease last expired, on the rig's clock.
-	lastLapse fulmarclock.Millis
-	crashed   bool
+	// lastLapse is when the lease last expired, lastLapseOfRuns when it last ended a run by that. Both are on the
+	// rig's clock.
+	lastLapse       fulmarclock.Millis
+	lastLapseOfRuns fulmarclock.Millis
+	crashed         bool
 	// endsSilently means that the callers of unfinished calls don't learn of the crash.
 	endsSilently bool
 	// capacities are the capacities so far, in the order of their times.
@@ -215,6 +217,7 @@
 		e.lastLapse = e.clockZero + e.leaseExpiry
 	}
 	for key := range e.running {
+		e.lastLapseOfRuns = e.lastLapse
 		e.endRun(key, fulmarjob.RunLeaseExpired, e.clockZero+e.leaseExpiry)
 	}
 }
@@ -358,7 +361,8 @@
 // acknowledge records that an acknowledgement has reached an end. The caller holds e.mu.
 func (e *executor) acknowledge(f finishedRun, late bool) {
 	e.rig.recordAcknowledgement(f.run, Acknowledgement{
-		At: e.rig.options.Clock.Now(), Late: late, Unread: f.sequence > e.reportedSequence, AfterLapse: e.lastLapse >= f.run.Ended,
+		At: e.rig.options.Clock.Now(), Late: late, Unread: f.sequence > e.reportedSequence,
+		AfterLapse: e.lastLapse >= f.run.Ended, AfterLapseOfRuns: e.lastLapseOfRuns >= f.run.Ended,
 	})
 }
 
--- a/internal/fulmarstandin/fulmarrig/rig.go
+++ b/internal/fulmarstandin/fulmarrig/rig.go
@@ -245,8 +245,12 @@
 	return r.Number == earlier.Number && r.Executor == earlier.Executor && r.Incarnation > earlier.Incarnation && !earlier.Acknowledged
 }
 
+// isEndTakenNoteOf reports whether the owner has acknowledged the end before the executor's lease expired. An expiry
+// counts only if it ended a run.
+func (r Run) isEndTakenNoteOf() bool { return r.Acknowledged && !r.Acknowledgement.AfterLapseOfRuns }
+
 // FindViolations returns a description of each violated guarantee. A task must not have two
-// concurrent runs, nor a run after one whose completion was acknowledged; its run numbers
+// concurrent runs, nor a run after one whose completion was taken note of; its run numbers
 // must increase, and the fencing tokens of the runs at one incarnation of an executor must not
 // decrease, whichever tasks they belong to. A task must not crash several executors at a time,
 // nor take runs of other jobs with it for long, and starts must fit the executors' capacity. The runs
@@ -266,7 +270,7 @@
 			switch {
 			case earlier.Ended == 0 || earlier.Ended > r.Started:
 				violations = append(violations, fmt.Sprintf("two concurrent runs of a task: %+v and %+v", earlier, r))
-			case earlier.Outcome == string(fulmarjob.RunDone) && earlier.Acknowledged:
+			case earlier.Outcome == string(fulmarjob.RunDone) && earlier.isEndTakenNoteOf():
 				violations = append(violations, fmt.Sprintf("run started after an acknowledged completion: %+v and %+v", earlier, r))
 			case r.isRepeatedStart(earlier):
 			case r.Number <= earlier.Number:
--- a/internal/fulmarstandin/fulmarrig/rig_test.go
+++ b/internal/fulmarstandin/fulmarrig/rig_test.go
@@ -20,6 +20,10 @@
 	}{
 		{"completion not acknowledged", []Run{first, second}, 0},
 		{"completion acknowledged", []Run{with(first, func(r *Run) { r.Acknowledged = true }), second}, 1},
+		{"completion acknowledged after a lapse without runs", []Run{with(first, func(r *Run) { r.Acknowledged, r.Acknowledgement.AfterLapse = true, true }), second}, 1},
+		{"completion acknowledged after a lapse of runs", []Run{with(first, func(r *Run) {
+			r.Acknowledged, r.Acknowledgement = true, Acknowledgement{AfterLapse: true, AfterLapseOfRuns: true}
+		}), second}, 0},
 		{"first run still in progress", []Run{with(first, func(r *Run) { r.Ended = 0 }), second}, 1},
 		{"first run ends after the second starts", []Run{with(first, func(r *Run) { r.Ended = 40 }), second}, 1},
 		{"same run number", []Run{first, with(second, func(r *Run) { r.Number = 1 })}, 1},
