fulmarsoak: a soak of executors that restart and are cut off soon after

Change: TestRecutSoak. In waves, two thirds of the executors restart, most of them behind a listener that lives on, and are cut off 0.1 to 2.5 s later for 9 s, half of them from the store too; the owner is killed on a quarter of the waves and paused on another. Runs last 1.5 to 12 s. With -soak.logs the runs are kept.

--- a/internal/fulmarsoak/doc.go
+++ b/internal/fulmarsoak/doc.go
@@ -9,6 +9,7 @@
 //	go test ./internal/fulmarsoak -run TestPlannedSoak -soak.planned 50 -soak.length 20s -timeout 1h
 //	go test ./internal/fulmarsoak -run 'TestRestartSoak|TestLateCallSoak' -soak.restarts 50 -timeout 1h
 //	go test ./internal/fulmarsoak -run TestSlowSoak -soak.slow 50 -soak.length 10s -timeout 1h
+//	go test ./internal/fulmarsoak -run TestRecutSoak -soak.recuts 50 -soak.length 25s -timeout 2h
 //	go test ./internal/fulmarsoak -soak.seeds 1 -soak.first 17 -soak.logs DIR -v
 //
 // Signals kill, stop, pause and reload members. Their connections to the store, the VM API
@@ -31,6 +32,12 @@
 // when they end, unless their sender has reset the connection. No call is made late. It needs seconds for the build of
 // the members.
 //
+// TestRecutSoak restarts most executors at one moment, so that calls of the downtime wait for the next incarnation, and
+// cuts them off soon after for longer than a lease that owners grant: from the members alone, or from the store too, which
+// then loses their entries. Owners are killed and paused meanwhile, and runs last for seconds.
+//
+// With -soak.logs, each seed also keeps all runs as the executors saw them.
+//
 // Each seed logs near misses: lines of the members' logs that came before violated guarantees in the past.
 //
 // TestPlannedSoak only stops, reloads and reconfigures members, and changes the capacity of
--- a/internal/fulmarsoak/fault_test.go
+++ b/internal/fulmarsoak/fault_test.go
@@ -151,6 +151,7 @@
 		end := f.inject(s)
 		s.faultCounts[f.name]++
 		time.AfterFunc(duration, end)
+		time.Sleep(s.scenario.faultPause)
 	}
 }
 
--- a/internal/fulmarsoak/nearmiss_test.go
+++ b/internal/fulmarsoak/nearmiss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -40,6 +41,17 @@
 	line, err := json.Marshal(n)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
 	appendLine(filepath.Join(*logs, "near-misses.jsonl"), string(line)+"\n")
+	s.logRuns()
+}
+
+// logRuns writes all runs beside the kept logs, one on a line.
+func (s *soak) logRuns() {
+	var lines bytes.Buffer
+	encoder := json.NewEncoder(&lines)
+	for _, r := range s.rig.Runs() {
+		quicktest.Assert(s.t, encoder.Encode(r), quicktest.IsNil)
+	}
+	quicktest.Assert(s.t, os.WriteFile(filepath.Join(s.directory, "runs.jsonl"), lines.Bytes(), 0o600), quicktest.IsNil)
 }
 
 // countNearMisses counts the messages of a log; those with a reason separately for each.
--- a/internal/fulmarsoak/planned_test.go
+++ b/internal/fulmarsoak/planned_test.go
@@ -53,8 +53,10 @@
 }
 
 // owner returns the member that owns the scheduler, or a random one while there is none.
-func (s *soak) owner() *member {
-	chosen := s.randomMember()
+func (s *soak) owner() *member { return s.ownerOr(s.randomMember()) }
+
+// ownerOr returns the member that owns the scheduler, or another one if none does.
+func (s *soak) ownerOr(chosen *member) *member {
 	value, _ := s.rig.Get(fulmarledger.OwnerKey)
 	owner, err := fulmarledger.DecodeOwner(value)
 	if err != nil {
--- a/internal/fulmarsoak/restart_test.go
+++ b/internal/fulmarsoak/restart_test.go
@@ -42,6 +42,8 @@
 	vm          string
 	downtime    fulmarclock.Millis
 	publication fulmarclock.Millis
+	// keepsListener is whether calls of the downtime wait for the next incarnation.
+	keepsListener bool
 }
 
 // randomRestart returns a restart of a VM's executor. Half of the entries in the store are replaced at once, and half
@@ -61,6 +63,10 @@
 
 func (s *soak) restart(r restart) {
 	s.logFault("restarted", r)
+	if r.keepsListener {
+		s.rig.RestartBehindListener(r.vm, r.downtime, r.publication)
+		return
+	}
 	s.rig.Restart(r.vm, r.downtime, r.publication)
 }
 
--- a/internal/fulmarsoak/soak_test.go
+++ b/internal/fulmarsoak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,7 @@
 	seeds    = flag.Int("soak.seeds", 2, "number of seeds to run")
 	planned  = flag.Int("soak.planned", 1, "number of seeds with planned work only to run")
 	restarts = flag.Int("soak.restarts", 1, "number of seeds with short runs and restarts of executors to run")
+	recuts   = flag.Int("soak.recuts", 1, "number of seeds with executors that restart and are cut off to run")
 	slow     = flag.Int("soak.slow", 1, "number of seeds with slow members to run")
 	first    = flag.Uint64("soak.first", 1, "first seed")
 	length   = flag.Duration("soak.length", 6*time.Second, "duration of fault injection per seed")
@@ -79,8 +81,11 @@
 	shortestRun, longestRun fulmarclock.Millis
 	// vms is the number of VMs with executors; 0 is poolVMs.
 	vms int
-	// faultRate divides the intervals between faults; 0 is 1.
-	faultRate time.Duration
+	// faultRate divides the intervals between faults; 0 is 1. faultPause is added after each.
+	faultRate  time.Duration
+	faultPause time.Duration
+	// callInterval is the time between two jobs of a caller; 0 is that of most soaks.
+	callInterval time.Duration
 	// isSlow means that members are built with the race detector; environment is added to theirs.
 	isSlow      bool
 	environment []string
@@ -101,8 +106,12 @@
 	members    []*member
 	client     *http.Client
 
-	affected        atomic.Int64
-	storeOutages    overlap
+	affected     atomic.Int64
+	storeOutages overlap
+	// storeCuts holds the cuts of executors from the store by VM.
+	storeCuts map[string]*overlap
+	// bursts are the callers that submit one job each.
+	bursts          sync.WaitGroup
 	lateCalls       *lateCalls
 	mu              sync.Mutex
 	executorProxies []*proxy
@@ -150,7 +159,7 @@
 	s := &soak{
 		t: t, scenario: sc, random: rand.New(rand.NewPCG(seed, 1)), binary: binary, directory: t.TempDir(), hostPrefix: fmt.Sprintf("127.%d.%d.", firstSubnet+os.Getpid()%subnetCount, seed%subnetCount), clock: fulmarclock.NewSystem(),
 		client: &http.Client{Timeout: callTimeout}, faultCounts: map[string]int{}, configurationVersion: 1, endings: map[ending]int{}, wrongKeys: map[int]int{}, shownCompleted: map[string]fulmarclock.Millis{},
-		lateCalls: newLateCalls(seed), proxyOf: map[string]*proxy{},
+		lateCalls: newLateCalls(seed), proxyOf: map[string]*proxy{}, storeCuts: map[string]*overlap{},
 	}
 	if *logs != "" {
 		s.directory = filepath.Join(*logs, fmt.Sprintf("%s-%d", sc.name, seed))
@@ -166,6 +175,10 @@
 		},
 	})
 	quicktest.Assert(t, err, quicktest.IsNil)
+	for _, vm := range slices.Concat(s.rig.VMs("work"), s.rig.VMs("spare")) {
+		s.storeCuts[vm] = &overlap{}
+	}
+	s.logFault("clock", s.clock.Now())
 	s.applyConfiguration()
 	for i := range members {
 		s.members = append(s.members, s.startMember(i))
@@ -231,6 +244,7 @@
 	s.holdConnections(ctx, &wg)
 	s.injectFaults(ctx)
 	wg.Wait()
+	s.bursts.Wait()
 	s.clearFaults()
 	s.checkCompletion()
 	s.cancelCrashing()
@@ -258,7 +272,7 @@
 		if s.submitJob(id, random) && n%foreignInterval == 0 {
 			s.sendWrongKeys((caller+n)%members, id)
 		}
-		time.Sleep(callInterval)
+		time.Sleep(cmp.Or(s.scenario.callInterval, callInterval))
 	}
 }
 
@@ -342,6 +356,9 @@
 	for _, vm := range s.rig.VMs("work") {
 		s.setCapacity(vm, vmMilliCPU)
 	}
+	for vm := range s.storeCuts {
+		s.rig.SetCutFromStore(vm, false)
+	}
 	for _, m := range s.members {
 		m.clearFaults()
 	}
