fulmarsoak: the second step of TestRecutSoak is short

Cause: jobs of two steps of up to 12 s each took TestRecutSoak 43 s with the default length.

Change: a task of the second step runs for 200 ms there.

--- a/internal/fulmarsoak/recut_test.go
+++ b/internal/fulmarsoak/recut_test.go
@@ -38,6 +38,8 @@
 	ownerPause         = 2 * time.Second
 	shortestRecutRun   = 1500 * fulmarclock.Millis(1)
 	longestRecutRun    = 12000 * fulmarclock.Millis(1)
+	// secondRecutStepRun keeps the time short in which jobs end after the last fault.
+	secondRecutStepRun = 200 * fulmarclock.Millis(1)
 )
 
 // cutOff cuts a VM's executor off from the members for recutDuration, and from the store too if fromStore is set.
@@ -113,5 +115,6 @@
 	runSeeds(t, scenario{
 		name: "recut", faults: []fault{recutWave}, graceSeconds: defaultGraceSeconds, vms: recutVMs, callers: recutCallers,
 		callInterval: recutCallInterval, faultPause: recutPause, shortestRun: shortestRecutRun, longestRun: longestRecutRun,
+		secondStepRun: secondRecutStepRun,
 	}, *recuts)
 }
--- a/internal/fulmarsoak/soak_test.go
+++ b/internal/fulmarsoak/soak_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,8 @@
 	maxAttempts         = 4
 	pollInterval        = 100 * time.Millisecond
 	firstStepTasks      = 3
+	// secondStepTask is the part of the name of the second step's task after the job's ID.
+	secondStepTask = ".0.1.0"
 	// The runs of most soaks last between these bounds.
 	defaultShortestRun = 100 * fulmarclock.Millis(1)
 	defaultLongestRun  = 1000 * fulmarclock.Millis(1)
@@ -77,8 +80,9 @@
 	connections int
 	// crashInterval is such that one job in it has a task that crashes its executors; 0 is none.
 	crashInterval int
-	// The duration of a run lies between these bounds.
+	// The duration of a run lies between these bounds. One of a second step lasts secondStepRun, unless that is 0.
 	shortestRun, longestRun fulmarclock.Millis
+	secondStepRun           fulmarclock.Millis
 	// vms is the number of VMs with executors; 0 is poolVMs.
 	vms int
 	// faultRate divides the intervals between faults; 0 is 1. faultPause is added after each.
@@ -206,6 +210,9 @@
 		sum = sum*31 + int(c)
 	}
 	sum &= 1<<20 - 1
+	if s.scenario.secondStepRun > 0 && strings.HasSuffix(task, secondStepTask) {
+		return s.scenario.secondStepRun, false
+	}
 	return s.scenario.shortestRun + fulmarclock.Millis(sum)%(s.scenario.longestRun-s.scenario.shortestRun), run == 1 && sum%16 == 0
 }
 
