--- a/internal/fulmarsoak/nearmiss_test.go
+++ b/internal/fulmarsoak/nearmiss_test.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/fulmardrum/fulmardrum/internal/fulmarstandin/fulmarrig"
 )
 
 // nearMisses count what came before violated guarantees in the past, by the lines of the members' logs.
@@ -28,12 +30,18 @@
 	"stopping unexpected run",
 }
 
+// idleLapse counts runs that are allowed only as a lease also lapses while nothing is running.
+const idleLapse = "run started after an end that was acknowledged after a lapse without runs"
+
 // reportNearMisses logs the near misses of the seed, and appends them to a file beside the kept logs.
 func (s *soak) reportNearMisses() {
 	n := nearMisses{Scenario: s.scenario.name, Seed: s.t.Name(), Runs: len(s.rig.Runs()), Counts: map[string]int{}, Violations: s.violations}
 	for _, m := range s.members {
 		countNearMisses(n.Counts, m.log)
 	}
+	if count := fulmarrig.CountRunsAfterIdleLapses(s.rig.Runs()); count > 0 {
+		n.Counts[idleLapse] = count
+	}
 	s.t.Logf("near misses %v, violations %d", n.Counts, len(n.Violations))
 	if *logs == "" {
 		return
