fulmarsched: a lasting task waits for the first report of an executor that was cut off

Cause: an executor that was deleted behind a cut, as it had no entry and no tasks left, is a new one once it is listed again, and not yet silent. A task that lasts had waited longer than the 4 s for it, so that it was placed elsewhere in the same moment, before the first report could show its run there. Change: an executor that the list of VMs names counts as cut off until it has reported.

--- a/internal/fulmarsched/lostattempt_test.go
+++ b/internal/fulmarsched/lostattempt_test.go
@@ -139,6 +139,30 @@
 	}
 }
 
+// A lasting run that a late start began behind a cut must be reported, once its executor is listed again, before its task is
+// placed elsewhere.
+func TestLastingRunOfExecutorThatIsListedAgainIsNotRepeatedElsewhere(t *testing.T) {
+	for _, cut := range []fulmarclock.Millis{9000, 11000, 12500} {
+		t.Run(fmt.Sprintf("cut off for %d ms", cut), func(t *testing.T) {
+			sim := newReadySimulation(t, 2)
+			sim.listVMs()
+			sim.runBehavior = runsForever
+			lost := sim.loseAttempt(jobID(1), longRunningStep(1, 1))
+			e := lost.target
+			e.crash()
+			sim.runUntil(sim.now + 4000)
+			e.restartUnlisted(1 << 40)
+			e.unresponsive = true
+			quicktest.Assert(t, lost.arrive(), quicktest.Equals, fulmarjob.ResultDone)
+			sim.scheduler.RemoveExecutor(sim.now, e.info.ID)
+			sim.runUntil(lost.sentAt + cut)
+			e.unresponsive = false
+			e.list()
+			sim.runUntil(sim.now + 5000)
+		})
+	}
+}
+
 // A start that is executed just before it can't be any more must not run beside one sent just afterwards.
 func TestTaskIsNotPlacedElsewhereBeforeLateRunCanBeReported(t *testing.T) {
 	sim := newReadySimulation(t, 2)
--- a/internal/fulmarsched/vmlist.go
+++ b/internal/fulmarsched/vmlist.go
@@ -71,10 +71,11 @@
 	return e.isSilentSince(s.vmList.requestedAt) && s.vmList.excludes(id, e.knownVM())
 }
 
-// isCutOff reports whether an executor is silent, but was up when the newest list was requested.
+// isCutOff reports whether an executor is silent, or has not reported yet since it was listed again, but was up when the
+// newest list was requested.
 func (s *Scheduler) isCutOff(id string) bool {
 	e := s.executors[id]
-	return (e == nil || e.isSilentSince(s.vmList.requestedAt)) && s.vmList.named[id]
+	return (e == nil || !e.fence.accepted || e.isSilentSince(s.vmList.requestedAt)) && s.vmList.named[id]
 }
 
 // isSilentSince reports whether the executor has not responded since a time, although it was asked, if it can be.
