fulmarsched: a start outruns only the renewals that have no response

Cause: a start had a token above those of all renewals before it, also of those that were answered. Change: only a renewal with a deadline that has no response counts. Not covered: a late attempt of a renewal of which another attempt was answered.

--- a/internal/fulmarsched/fence.go
+++ b/internal/fulmarsched/fence.go
@@ -14,6 +14,8 @@
 	accepted bool
 	// open is the last acknowledgement, unless it had a response.
 	open openAcknowledgement
+	// openRenewal is the token of the last renewal with a deadline, unless it had a response.
+	openRenewal int64
 }
 
 // openAcknowledgement is an acknowledgement of finished runs that has no response yet. Its number is
@@ -51,12 +53,13 @@
 	f.raise(revision, f.floor)
 }
 
-// beginStart raises the token if the start that is sent next needs that: an open acknowledgement may be executed after
-// it, by a later incarnation too.
+// beginStart raises the token if the start that is sent next needs that: an open acknowledgement or renewal may be executed
+// after it, by a later incarnation too.
 func (f *fence) beginStart(revision int64) {
 	if f.open.number > 0 {
 		f.floor = max(f.floor, f.open.token)
 	}
+	f.floor = max(f.floor, f.openRenewal)
 	if f.token <= f.floor {
 		f.raise(revision, f.floor)
 	}
@@ -66,11 +69,12 @@
 // executor refused it.
 func (f *fence) isOvertaken(token int64) bool { return token < f.token }
 
-// noteSent records a renewal that is sent now. An acknowledgement that is still without a response may
-// be executed after it. An attempt of one with a deadline may be executed late even if another one had a response.
+// noteSent records a renewal that is sent now. An acknowledgement or a deadline that is still without a response may
+// be executed after it.
 func (f *fence) noteSent(c RenewCommand) {
+	f.floor, f.openRenewal = max(f.floor, f.openRenewal), 0
 	if c.Deadline > 0 {
-		f.floor = max(f.floor, c.Token)
+		f.openRenewal = c.Token
 	}
 	if c.Acknowledged == 0 {
 		return
@@ -83,6 +87,7 @@
 
 // noteResponse records that the executor has executed a renewal.
 func (f *fence) noteResponse(c RenewCommand) {
+	f.openRenewal = 0
 	if f.open.number == c.Acknowledged && f.open.token == c.Token {
 		f.open = openAcknowledgement{}
 	}
--- a/internal/fulmarsched/laterenewal_test.go
+++ b/internal/fulmarsched/laterenewal_test.go
@@ -60,3 +60,27 @@
 		}
 	}
 }
+
+// As before, if the renewal had no response, but a later one did.
+func TestLateRenewalBeforeAnsweredOneExtendsNoLease(t *testing.T) {
+	sim := newReadySimulation(t, 3)
+	sim.runsTake(60000)
+	e := sim.executors[0]
+	sim.leaveRoomOn(e)
+	sim.submit(jobID(1), step(1))
+	sim.waitFor(sim.now+3000, "the first task runs", func() bool { return sim.runningCount() == 1 })
+	renewal := sim.captureRenewal()
+	sentAt, known := sim.now, sim.scheduler.executors[e.info.ID]
+	sim.waitFor(sim.now+5000, "a later renewal is answered", func() bool { return known.lastResultAt > sentAt+1000 && known.failedRenewals == 0 })
+	sim.submit(jobID(2), step(1))
+	sim.waitFor(sim.now+300, "the second task is placed", func() bool { return sim.batch != nil })
+	e.crash()
+	e.restartUnlisted(1 << 40)
+	sim.waitFor(sim.now+300, "the second task runs", func() bool { return sim.runningCount() == 1 })
+	e.unresponsive = true
+	sim.makeRoomBeside(e)
+	sim.runUntil(sentAt + 11000)
+	e.renewLease(renewal)
+	sim.runUntil(sim.now + 30000)
+	sim.checkRunsOnce()
+}
